Lay out packages, checks and shared message types

Cause: the repository was empty. Change: package skeletons, pinned requirements, Makefile, test runner, design page, settings and the frames that daemons exchange. Conclusion: make test runs from a fresh clone; 1 passed, 0 failed.

--- /dev/null
+++ b/goldcresthoist/balance/__init__.py
@@ -0,0 +1,3 @@
+"""Choice of upstream, admission, retries and limits."""
+
+__all__ = []
--- /dev/null
+++ b/goldcresthoist/bench/__init__.py
@@ -0,0 +1,3 @@
+"""Benchmarks of policies, the request path and the size limits."""
+
+__all__ = []
--- /dev/null
+++ b/goldcresthoist/callers/__init__.py
@@ -0,0 +1,3 @@
+"""HTTP/1.1 server for callers."""
+
+__all__ = []
--- /dev/null
+++ b/goldcresthoist/cli/__init__.py
@@ -0,0 +1,3 @@
+"""Command line of goldcresthoist."""
+
+__all__ = []
--- /dev/null
+++ b/goldcresthoist/config/__init__.py
@@ -0,0 +1,34 @@
+"""Settings, questionnaire and generated configuration."""
+
+from goldcresthoist.config.errors import (
+    ConfigError,
+    ConfigurationConflict,
+    InvalidAnswer,
+    InvalidSetting,
+)
+from goldcresthoist.config.model import (
+    AtMostOnce,
+    Read,
+    Repeatable,
+    ServiceConfiguration,
+    TeamConfiguration,
+    Upload,
+    WorkRule,
+)
+from goldcresthoist.config.settings import Settings, split_address
+
+__all__ = [
+    "AtMostOnce",
+    "ConfigError",
+    "ConfigurationConflict",
+    "InvalidAnswer",
+    "InvalidSetting",
+    "Read",
+    "Repeatable",
+    "ServiceConfiguration",
+    "Settings",
+    "TeamConfiguration",
+    "Upload",
+    "WorkRule",
+    "split_address",
+]
--- /dev/null
+++ b/goldcresthoist/config/_checking.py
@@ -0,0 +1,78 @@
+"""Decoding of YAML documents into checked data classes."""
+
+import re
+
+import msgspec
+import yaml
+
+_PATH = re.compile(r"^(?P<reason>.*?)(?: - at `(?P<path>\$[^`]*)`)?$", re.DOTALL)
+_STEP = re.compile(r"\.([^.\[]+)|\[(\d+)\]")
+_UNKNOWN_FIELD = re.compile(r"unknown field `(?P<name>[^`]+)`")
+_MISSING_FIELD = re.compile(r"missing required field `(?P<name>[^`]+)`")
+
+
+def load_yaml(text, source, error):
+    """Parse a YAML mapping.
+
+    Parameters
+    ----------
+    text : str
+        The document.
+    source : str
+        Name of the file, for error messages.
+    error : type of Exception
+        Raised when the text is not a YAML mapping.
+    """
+    try:
+        document = yaml.safe_load(text)
+    except yaml.YAMLError as exc:
+        place = getattr(exc, "problem_mark", None)
+        line = f" line {place.line + 1}" if place else ""
+        problem = getattr(exc, "problem", None) or "cannot be parsed"
+        raise error(f"{source}:{line} not valid YAML: {problem}") from exc
+    if not isinstance(document, dict):
+        raise error(f"{source}: expected a mapping of keys, got {document!r}")
+    return document
+
+
+def convert(document, type_, source, error):
+    """Convert a plain document to a checked data class.
+
+    Raises
+    ------
+    error
+        With one line that names the source, the key, the value and what is allowed.
+    """
+    try:
+        return msgspec.convert(document, type_)
+    except msgspec.ValidationError as exc:
+        raise error(f"{source}: {_describe(str(exc), document)}") from exc
+
+
+def _describe(message, document):
+    match = _PATH.match(message)
+    reason = match["reason"]
+    path = match["path"] or "$"
+    if unknown := _UNKNOWN_FIELD.search(reason):
+        parent = _value_at(document, path)
+        name = unknown["name"]
+        value = parent.get(name) if isinstance(parent, dict) else None
+        return f"key {_join(path, name)} = {value!r}: unknown key"
+    if missing := _MISSING_FIELD.search(reason):
+        return f"key {_join(path, missing['name'])} is missing"
+    key = path.removeprefix("$").lstrip(".") or "(document)"
+    return f"key {key} = {_value_at(document, path)!r}: {reason}"
+
+
+def _join(path, name):
+    return f"{path}.{name}".removeprefix("$").lstrip(".")
+
+
+def _value_at(document, path):
+    value = document
+    for name, index in _STEP.findall(path):
+        try:
+            value = value[int(index)] if index else value[name]
+        except (KeyError, IndexError, TypeError):
+            return None
+    return value
--- /dev/null
+++ b/goldcresthoist/control/__init__.py
@@ -0,0 +1,3 @@
+"""gRPC control services between daemons."""
+
+__all__ = []
--- /dev/null
+++ b/goldcresthoist/daemon/__init__.py
@@ -0,0 +1,3 @@
+"""The daemon beside each upstream."""
+
+__all__ = []
--- /dev/null
+++ b/goldcresthoist/gossip/__init__.py
@@ -0,0 +1,3 @@
+"""Membership of daemons by gossip over UDP."""
+
+__all__ = []
--- /dev/null
+++ b/goldcresthoist/links/__init__.py
@@ -0,0 +1,3 @@
+"""Framed connections between daemons that carry calls."""
+
+__all__ = []
--- /dev/null
+++ b/goldcresthoist/links/frames.py
@@ -0,0 +1,249 @@
+"""Messages between daemons on a link, and their codec.
+
+Each frame is a 4-byte big-endian length followed by a msgpack array whose first item
+is the integer tag of the message.
+"""
+
+import struct
+
+import msgspec
+
+from goldcresthoist.links.errors import CorruptFrame
+
+__all__ = [
+    "MAX_BODY_BYTES",
+    "MAX_FRAME_BYTES",
+    "STREAM_CREDIT_BYTES",
+    "Body",
+    "Cancel",
+    "Challenge",
+    "Credit",
+    "Failed",
+    "FailureKind",
+    "FrameDecoder",
+    "Head",
+    "Hello",
+    "LoadReport",
+    "Open",
+    "Ping",
+    "Pong",
+    "Refuse",
+    "Suspect",
+    "SuspectAck",
+    "Welcome",
+    "encode_frame",
+]
+
+# A larger body frame would delay the short calls that share the connection.
+MAX_BODY_BYTES = 32 * 1024
+MAX_FRAME_BYTES = 256 * 1024
+STREAM_CREDIT_BYTES = 256 * 1024
+
+_LENGTH = struct.Struct(">I")
+
+
+class LoadReport(msgspec.Struct, frozen=True, array_like=True):
+    """Load of one upstream as counted by the daemon beside it.
+
+    ``service_ms`` is the moving average of the time that one call takes.
+    """
+
+    in_flight: int
+    queued: int
+    slots: int
+    service_ms: float
+    draining: bool = False
+
+
+class Challenge(msgspec.Struct, frozen=True, array_like=True, tag=1):
+    """First message of the accepting daemon."""
+
+    nonce: bytes
+
+
+class Hello(msgspec.Struct, frozen=True, array_like=True, tag=2):
+    """Answer of the opening daemon to a challenge."""
+
+    instance: str
+    nonce: bytes
+    mac: bytes
+
+
+class Welcome(msgspec.Struct, frozen=True, array_like=True, tag=3):
+    """End of the handshake: the accepting daemon proves itself."""
+
+    instance: str
+    mac: bytes
+
+
+class Open(msgspec.Struct, frozen=True, array_like=True, tag=4):
+    """A call for the upstream beside the receiving daemon.
+
+    ``time_left_us`` is relative since the clocks of two instances differ; the receiver
+    turns it into a deadline at once.
+    """
+
+    call_id: int
+    service: str
+    work: str
+    method: str
+    target: str
+    headers: tuple[tuple[bytes, bytes], ...]
+    time_left_us: int
+    key: str
+    fingerprint: bytes
+    crash_count: int
+    body: bytes
+    end: bool
+
+
+class Body(msgspec.Struct, frozen=True, array_like=True, tag=5):
+    """A piece of a request or answer body."""
+
+    call_id: int
+    data: bytes
+    end: bool
+
+
+class Credit(msgspec.Struct, frozen=True, array_like=True, tag=6):
+    """Permission to send more body bytes of one call."""
+
+    call_id: int
+    size: int
+
+
+class Cancel(msgspec.Struct, frozen=True, array_like=True, tag=7):
+    """The caller no longer wants the answer."""
+
+    call_id: int
+
+
+class Head(msgspec.Struct, frozen=True, array_like=True, tag=8):
+    """Start of an answer, with its first body bytes."""
+
+    call_id: int
+    status: int
+    headers: tuple[tuple[bytes, bytes], ...]
+    load: LoadReport
+    body: bytes
+    end: bool
+
+
+class Refuse(msgspec.Struct, frozen=True, array_like=True, tag=9):
+    """The call was not started and will not be."""
+
+    call_id: int
+    code: str
+    message: str
+    retry_after_ms: int
+    load: LoadReport
+
+
+class FailureKind:
+    """Why a started call has no answer."""
+
+    CRASHED = "crashed"
+    BROKEN = "broken"
+    TIMED_OUT = "timed-out"
+
+
+class Failed(msgspec.Struct, frozen=True, array_like=True, tag=10):
+    """The call was started and has no usable answer."""
+
+    call_id: int
+    kind: str
+    message: str
+    load: LoadReport
+
+
+class Suspect(msgspec.Struct, frozen=True, array_like=True, tag=11):
+    """A request was running when an upstream crashed."""
+
+    fingerprint: bytes
+    count: int
+    instance: str
+
+
+class SuspectAck(msgspec.Struct, frozen=True, array_like=True, tag=12):
+    """The sender counts the suspect request from now on."""
+
+    fingerprint: bytes
+
+
+class Ping(msgspec.Struct, frozen=True, array_like=True, tag=13):
+    """Asks whether the peer is alive."""
+
+    seq: int
+
+
+class Pong(msgspec.Struct, frozen=True, array_like=True, tag=14):
+    """Answer to a ping, also sent unasked when draining starts."""
+
+    seq: int
+    load: LoadReport
+
+
+Frame = (
+    Challenge
+    | Hello
+    | Welcome
+    | Open
+    | Body
+    | Credit
+    | Cancel
+    | Head
+    | Refuse
+    | Failed
+    | Suspect
+    | SuspectAck
+    | Ping
+    | Pong
+)
+
+_encoder = msgspec.msgpack.Encoder()
+_decoder = msgspec.msgpack.Decoder(Frame)
+
+
+def encode_frame(message):
+    """Return the bytes of one frame."""
+    payload = _encoder.encode(message)
+    return _LENGTH.pack(len(payload)) + payload
+
+
+class FrameDecoder:
+    """Splits a byte stream into messages."""
+
+    def __init__(self):
+        self.buffer = bytearray()
+
+    def feed(self, data):
+        """Add received bytes and return the complete messages.
+
+        Raises
+        ------
+        CorruptFrame
+            When a length or a payload is not valid; the connection must be closed.
+        """
+        buffer = self.buffer
+        buffer += data
+        messages = []
+        start = 0
+        while len(buffer) - start >= _LENGTH.size:
+            (length,) = _LENGTH.unpack_from(buffer, start)
+            if length > MAX_FRAME_BYTES:
+                raise CorruptFrame(f"frame of {length} bytes exceeds {MAX_FRAME_BYTES}")
+            end = start + _LENGTH.size + length
+            if end > len(buffer):
+                break
+            messages.append(_decode(bytes(buffer[start + _LENGTH.size : end])))
+            start = end
+        if start:
+            del buffer[:start]
+        return messages
+
+
+def _decode(payload):
+    try:
+        return _decoder.decode(payload)
+    except (msgspec.DecodeError, msgspec.ValidationError) as exc:
+        raise CorruptFrame(f"frame cannot be decoded: {exc}") from exc
--- /dev/null
+++ b/goldcresthoist/objects/__init__.py
@@ -0,0 +1,3 @@
+"""Client of the platform's object store."""
+
+__all__ = []
--- /dev/null
+++ b/goldcresthoist/operations/__init__.py
@@ -0,0 +1,3 @@
+"""At-most-once operations and resumable uploads."""
+
+__all__ = []
--- /dev/null
+++ b/goldcresthoist/operators/__init__.py
@@ -0,0 +1,3 @@
+"""HTTP pages for operators."""
+
+__all__ = []
--- /dev/null
+++ b/goldcresthoist/table/__init__.py
@@ -0,0 +1,3 @@
+"""Client of the platform's table service."""
+
+__all__ = []
--- /dev/null
+++ b/goldcresthoist/telemetry/__init__.py
@@ -0,0 +1,3 @@
+"""Logs and metrics."""
+
+__all__ = []
--- /dev/null
+++ b/goldcresthoist/tests/__init__.py
@@ -0,0 +1,3 @@
+"""Stand-ins, builders and tests of the whole system."""
+
+__all__ = []
--- /dev/null
+++ b/goldcresthoist/tests/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for the platform and for upstreams."""
