Add clients of the table service and object store with stand-ins

Cause: operations, uploads and configuration need the platform services, and others need something to run against. Stand-ins of both services with faults, as processes and inside a test. A 5xx or a reset after sending leaves the outcome of a write unknown; only refused connections, the gate and throttling prove that a write had no effect.

--- a/goldcresthoist/objects/__init__.py
+++ b/goldcresthoist/objects/__init__.py
@@ -1,3 +1,10 @@
 """Client of the platform's object store."""
 
-__all__ = []
+from goldcresthoist.objects.client import ObjectClient
+from goldcresthoist.objects.errors import (
+    ObjectMissing,
+    ObjectsError,
+    ObjectsUnavailable,
+)
+
+__all__ = ["ObjectClient", "ObjectMissing", "ObjectsError", "ObjectsUnavailable"]
--- /dev/null
+++ b/goldcresthoist/platform/tests/test_gate.py
@@ -0,0 +1,124 @@
+"""Tests of the limit on calls to a platform service."""
+
+import asyncio
+import random
+import unittest
+
+from goldcresthoist.platform import CallFailed, CallGate, CallNotSent, GateLimits
+
+
+class Clock:
+    """Replaces the time of the running loop."""
+
+    def __init__(self, test):
+        self.now = 0.0
+        loop = asyncio.get_running_loop()
+        original = loop.time
+        loop.time = lambda: self.now
+        test.addCleanup(setattr, loop, "time", original)
+
+
+async def call(gate, service):
+    """Make one call that fails if the service is down."""
+    async with gate.admit(float("inf")):
+        service.received += 1
+        if service.down:
+            raise CallFailed("down")
+
+
+class Service:
+    """Counts the calls it receives."""
+
+    def __init__(self):
+        self.received = 0
+        self.down = False
+
+
+class CallGateTest(unittest.IsolatedAsyncioTestCase):
+    """Guards a service that is down or recovering against the fleet's calls."""
+
+    async def test_outage_is_probed_by_few_calls_that_do_not_coincide(self):
+        clock = Clock(self)
+        service = Service()
+        service.down = True
+        gates = [CallGate("table", rng=random.Random(n)) for n in range(50)]
+        by_step = []
+        for _ in range(600):
+            before = service.received
+            for gate in gates:
+                for _ in range(2):
+                    with self.assertRaises((CallFailed, CallNotSent)):
+                        await call(gate, service)
+            by_step.append(service.received - before)
+            clock.now += 0.1
+        # 60,000 calls were wanted in 60 s. Each gate sends 3 calls before it opens,
+        # about 6 probes with growing pauses, then one every 5 s on average.
+        self.assertLess(service.received, 50 * 30)
+        self.assertLess(max(by_step[300:]), 10)
+
+    async def test_recovery_starts_with_one_call_at_a_time(self):
+        clock = Clock(self)
+        service = Service()
+        gate = CallGate("table", GateLimits(concurrency=16))
+        service.down = True
+        for _ in range(3):
+            with self.assertRaises(CallFailed):
+                await call(gate, service)
+        with self.assertRaises(CallNotSent):
+            await call(gate, service)
+        clock.now += 1
+        service.down = False
+        await call(gate, service)
+        self.assertEqual((gate.is_open, gate.allowed), (False, 1))
+        for expected in range(2, 20):
+            await call(gate, service)
+            self.assertEqual(gate.allowed, min(16, expected))
+
+    async def test_single_probe_while_down(self):
+        clock = Clock(self)
+        gate = CallGate("table", GateLimits(failures_to_open=1))
+        with self.assertRaises(CallFailed):
+            async with gate.admit(1):
+                raise CallFailed("down")
+        clock.now += 1
+        async with gate.admit(2):
+            with self.assertRaises(CallNotSent):
+                async with gate.admit(2):
+                    pass
+
+    async def test_cancelled_probe_lets_the_next_call_probe(self):
+        clock = Clock(self)
+        service = Service()
+        gate = CallGate("table", GateLimits(failures_to_open=1))
+        service.down = True
+        with self.assertRaises(CallFailed):
+            await call(gate, service)
+        clock.now += 1
+        with self.assertRaises(asyncio.CancelledError):
+            async with gate.admit(2):
+                raise asyncio.CancelledError
+        service.down = False
+        await call(gate, service)
+        self.assertFalse(gate.is_open)
+
+    async def test_waiting_calls_are_bounded_and_fail_when_the_circuit_opens(self):
+        gate = CallGate("table", GateLimits(1, waiting=2, failures_to_open=1))
+        service = Service()
+        with self.assertRaises(CallFailed):
+            async with gate.admit(float("inf")):
+                waiting = [asyncio.create_task(call(gate, service)) for _ in range(3)]
+                await asyncio.sleep(0)
+                with self.assertRaises(CallNotSent):
+                    await waiting[2]
+                raise CallFailed("down")
+        results = await asyncio.gather(*waiting, return_exceptions=True)
+        self.assertEqual([type(result) for result in results], [CallNotSent] * 3)
+        self.assertEqual((service.received, gate.in_flight), (0, 0))
+
+    async def test_queue_is_left_at_the_deadline(self):
+        gate = CallGate("table", GateLimits(1))
+        async with gate.admit(float("inf")):
+            with self.assertRaisesRegex(CallNotSent, "deadline"):
+                async with gate.admit(0):
+                    pass
+        self.assertEqual((len(gate.waiters), gate.in_flight), (0, 0))
--- /dev/null
+++ b/goldcresthoist/table/tests/test_client.py
@@ -0,0 +1,115 @@
+"""Tests of the table client against the stand-in."""
+
+import asyncio
+import unittest
+
+from goldcresthoist.table import (
+    Absent,
+    Always,
+    ConditionFailed,
+    Equals,
+    Key,
+    OutcomeUnknown,
+    Put,
+    TableClient,
+    TableError,
+    TableUnavailable,
+)
+from goldcresthoist.tests.platform_builders import make_settings, make_table_client
+from goldcresthoist.tests.standins.table import TableStandin
+
+ITEM = {"state": "started", "count": 7, "answer": b"\x00\xff"}
+
+
+class TableClientTest(unittest.IsolatedAsyncioTestCase):
+    """Guards the mapping of answers and faults to outcomes of the client."""
+
+    async def asyncSetUp(self):
+        self.standin = await self.enterAsyncContext(TableStandin())
+        self.client = make_table_client(self.standin)
+        self.addAsyncCleanup(self.client.close)
+
+    async def test_item_is_read_as_written(self):
+        key = Key("operation#a#b")
+        await self.client.put(Put(key, ITEM, Always()))
+        stored = ITEM | {"pk": key.partition, "sk": "-"}
+        self.assertEqual(await self.client.get(key), stored)
+        self.assertIsNone(await self.client.get(Key("other")))
+
+    async def test_settings_give_a_working_client(self):
+        settings = make_settings(table_url=self.standin.url)
+        client = TableClient.from_settings(settings)
+        self.addAsyncCleanup(client.close)
+        await client.put(Put(Key("a"), ITEM))
+        self.assertIsNotNone(await client.get(Key("a")))
+
+    async def test_condition_decides_a_write(self):
+        key = Key("a")
+        await self.client.put(Put(key, ITEM, Absent()))
+        for condition in (Absent(), Equals("count", 8), Equals("missing", "x")):
+            with self.assertRaises(ConditionFailed):
+                await self.client.put(Put(key, {}, condition))
+            with self.assertRaises(ConditionFailed):
+                await self.client.delete(key, condition)
+        await self.client.delete(key, Equals("answer", b"\x00\xff"))
+        self.assertIsNone(await self.client.get(key))
+
+    async def test_transaction_writes_all_or_none(self):
+        await self.client.put(Put(Key("a"), ITEM))
+        puts = [Put(Key("b"), ITEM, Absent()), Put(Key("a"), ITEM, Absent())]
+        with self.assertRaises(ConditionFailed):
+            await self.client.transact(puts)
+        self.assertIsNone(await self.client.get(Key("b")))
+        await self.client.transact(puts[:1])
+        self.assertIsNotNone(await self.client.get(Key("b")))
+
+    async def test_query_reads_all_pages_in_order(self):
+        large = {"answer": bytes(300 * 1024)}
+        for sort in ("n4", "n1", "m1", "n2", "n3", "n5"):
+            await self.client.put(Put(Key("p", sort), large))
+        found = [item["sk"] for item in await self.client.query("p", "n")]
+        self.assertEqual(found, ["n1", "n2", "n3", "n4", "n5"])
+        items = await self.client.query("p", limit=2, after="n1")
+        self.assertEqual([item["sk"] for item in items], ["n2", "n3"])
+
+    async def test_lost_answer_leaves_outcome_unknown(self):
+        self.standin.faults.lose_answers = 1
+        with self.assertRaises(OutcomeUnknown):
+            await self.client.put(Put(Key("a"), ITEM))
+        self.assertIsNotNone(await self.client.get(Key("a")))
+
+    async def test_late_write_leaves_outcome_unknown_then_takes_effect(self):
+        client = make_table_client(self.standin, timeout_s=0.05)
+        self.addAsyncCleanup(client.close)
+        self.standin.faults.late_writes = 1
+        with self.assertRaises(OutcomeUnknown):
+            await client.put(Put(Key("a"), ITEM))
+        self.assertIsNone(await self.client.get(Key("a")))
+        self.standin.release_late()
+        await asyncio.gather(*self.standin.tasks)
+        self.assertIsNotNone(await self.client.get(Key("a")))
+
+    async def test_refused_connection_proves_no_effect(self):
+        await self.standin.refuse()
+        with self.assertRaises(TableUnavailable):
+            await self.client.put(Put(Key("a"), ITEM))
+        await self.standin.listen()
+        self.assertIsNone(await self.client.get(Key("a")))
+
+    async def test_server_error_leaves_write_unknown(self):
+        self.standin.faults.change({"down": True, "down_status": 500})
+        with self.assertRaises(OutcomeUnknown):
+            await self.client.put(Put(Key("a"), ITEM))
+        with self.assertRaises(TableUnavailable):
+            await self.client.get(Key("a"))
+
+    async def test_throttled_write_had_no_effect_and_lowers_the_limit(self):
+        self.standin.faults.throttle = 1
+        with self.assertRaises(TableUnavailable):
+            await self.client.put(Put(Key("a"), ITEM))
+        self.assertEqual(self.client.http.gate.allowed, 8)
+        self.assertIsNone(await self.client.get(Key("a")))
+
+    async def test_item_over_the_limit_is_an_error(self):
+        with self.assertRaisesRegex(TableError, "400 KB"):
+            await self.client.put(Put(Key("a"), {"answer": bytes(401 * 1024)}))
--- /dev/null
+++ b/goldcresthoist/tests/platform_builders.py
@@ -0,0 +1,47 @@
+"""Builders of clients and settings for tests of the platform clients."""
+
+from goldcresthoist.config import Settings
+from goldcresthoist.objects import ObjectClient
+from goldcresthoist.platform import CallGate, GateLimits, SignedHttp
+from goldcresthoist.table import TableClient
+
+__all__ = ["make_object_client", "make_settings", "make_table_client"]
+
+
+def make_settings(**changes):
+    """Return valid settings of one daemon."""
+    address = "127.0.0.1:9"
+    document = {
+        "instance": "daemon-1",
+        "failure_domain": "domain-1",
+        "region": "region-1",
+        "service": "ledger",
+        "caller_address": address,
+        "link_address": address,
+        "gossip_address": address,
+        "control_address": address,
+        "operator_address": address,
+        "upstream_address": address,
+        "table_url": "http://127.0.0.1:9",
+        "objects_url": "http://127.0.0.1:9",
+        "shared_key": "ab" * 32,
+        "access_key": "test",
+        "secret_key": "test",
+    }
+    return Settings.from_document(document | changes, "test settings")
+
+
+def make_http(url, service, timeout_s, limits=None, rng=None):
+    """Return a signed connection to a stand-in."""
+    gate = CallGate(service, limits or GateLimits(), rng)
+    return SignedHttp(url, service, "local", "test", "test", gate, timeout_s)
+
+
+def make_table_client(standin, timeout_s=30.0, **gate):
+    """Return a client of a table stand-in."""
+    return TableClient(make_http(standin.url, "dynamodb", timeout_s, **gate), "test")
+
+
+def make_object_client(standin, timeout_s=30.0, **gate):
+    """Return a client of an object store stand-in."""
+    return ObjectClient(make_http(standin.url, "s3", timeout_s, **gate), "test")
--- /dev/null
+++ b/goldcresthoist/tests/standins/_server.py
@@ -0,0 +1,209 @@
+"""HTTP server with faults that the stand-ins of the platform services share."""
+
+import argparse
+import asyncio
+import json
+from collections import Counter
+from dataclasses import dataclass, fields
+
+from aiohttp import web
+
+__all__ = ["FaultyServer", "Faults", "run"]
+
+LARGEST_REQUEST_BYTES = 64 * 1024 * 1024
+
+
+@dataclass
+class Faults:
+    """Faults of a stand-in. Counts go down by one with each call they apply to.
+
+    Attributes
+    ----------
+    down : bool
+        Answer every call with `down_status` and without effect.
+    delay_ms : float
+        Time before each call is processed.
+    throttle : int
+        Refuse this many calls as over the provisioned rate.
+    lose_answers : int
+        This many writes take effect and their connection closes without an answer.
+    late_writes : int
+        This many writes are held, without an answer, and take effect after `late_ms`
+        or, if that is 0, when they are released.
+    refuse_ms : float
+        Refuse connections for this time, then listen again.
+    """
+
+    down: bool = False
+    down_status: int = 503
+    delay_ms: float = 0
+    throttle: int = 0
+    lose_answers: int = 0
+    late_writes: int = 0
+    late_ms: float = 0
+    refuse_ms: float = 0
+
+    def change(self, document):
+        """Set the given faults; raises ValueError for an unknown one."""
+        names = {field.name for field in fields(self)}
+        if unknown := set(document) - names:
+            raise ValueError(f"unknown faults {sorted(unknown)}, known {sorted(names)}")
+        for name, value in document.items():
+            setattr(self, name, value)
+
+    def take(self, name):
+        """Use up one of a counted fault; return whether there was one."""
+        left = getattr(self, name)
+        if left > 0:
+            setattr(self, name, left - 1)
+        return left > 0
+
+
+class FaultyServer:
+    """Base of the stand-ins.
+
+    A subclass gives `operation_of`, `is_write`, `throttled` and `process`, which
+    takes effect at once and returns an answer. Control paths begin with ``/-/``:
+    ``POST /-/faults``, ``GET /-/calls`` and ``POST /-/release``.
+    """
+
+    def __init__(self):
+        self.faults = Faults()
+        self.calls = Counter()
+        self.released = asyncio.Event()
+        self.tasks = set()
+        self.runner = None
+        self.host = "127.0.0.1"
+        self.port = 0
+
+    @property
+    def url(self):
+        """URL that clients are given."""
+        return f"http://{self.host}:{self.port}"
+
+    async def __aenter__(self):
+        await self.start()
+        return self
+
+    async def __aexit__(self, *exc_info):
+        await self.stop()
+
+    async def start(self, port=0, host="127.0.0.1"):
+        """Listen; port 0 takes a free one."""
+        self.host = host
+        app = web.Application(client_max_size=LARGEST_REQUEST_BYTES)
+        app.router.add_post("/-/faults", self._set_faults)
+        app.router.add_get("/-/calls", self._tell_calls)
+        app.router.add_post("/-/release", self._release)
+        app.router.add_route("*", "/{path:.*}", self._handle)
+        self.runner = web.AppRunner(app, access_log=None, shutdown_timeout=0.1)
+        await self.runner.setup()
+        self.port = port
+        await self.listen()
+
+    async def stop(self):
+        """Stop listening and drop held writes."""
+        for task in list(self.tasks):
+            task.cancel()
+        await self.runner.cleanup()
+
+    async def listen(self):
+        """Accept connections, again on the same port after `refuse`."""
+        site = web.TCPSite(self.runner, self.host, self.port, reuse_address=True)
+        await site.start()
+        self.port = site._server.sockets[0].getsockname()[1]
+
+    async def refuse(self):
+        """Close all connections and refuse new ones."""
+        for site in list(self.runner.sites):
+            await site.stop()
+        for connection in list(self.runner.server.connections):
+            if connection.transport is not None:
+                connection.transport.abort()
+
+    def release_late(self):
+        """Let the held writes take effect."""
+        self.released.set()
+        self.released = asyncio.Event()
+
+    async def _set_faults(self, request):
+        try:
+            self.faults.change(await request.json())
+        except ValueError as exc:
+            return web.json_response({"error": str(exc)}, status=400)
+        if self.faults.refuse_ms:
+            self._spawn(self._refuse_for(self.faults.refuse_ms / 1000))
+            self.faults.refuse_ms = 0
+        return web.json_response({})
+
+    async def _tell_calls(self, request):
+        return web.json_response(dict(self.calls))
+
+    async def _release(self, request):
+        self.release_late()
+        return web.json_response({})
+
+    async def _refuse_for(self, seconds):
+        await asyncio.sleep(0.01)
+        await self.refuse()
+        await asyncio.sleep(seconds)
+        await self.listen()
+
+    async def _handle(self, request):
+        body = await request.read()
+        operation = self.operation_of(request)
+        self.calls[operation] += 1
+        self.calls["total"] += 1
+        faults = self.faults
+        if faults.down:
+            return web.Response(status=faults.down_status, text="down")
+        if faults.delay_ms:
+            await asyncio.sleep(faults.delay_ms / 1000)
+        if faults.take("throttle"):
+            return self.throttled()
+        if not self.is_write(operation):
+            return self.process(operation, request, body)
+        return await self._write(operation, request, body)
+
+    async def _write(self, operation, request, body):
+        if self.faults.take("late_writes"):
+            return await self._spawn(self._write_late(operation, request, body))
+        answer = self.process(operation, request, body)
+        if self.faults.take("lose_answers"):
+            request.transport.abort()
+        return answer
+
+    async def _write_late(self, operation, request, body):
+        if self.faults.late_ms:
+            await asyncio.sleep(self.faults.late_ms / 1000)
+        else:
+            await self.released.wait()
+        return self.process(operation, request, body)
+
+    def _spawn(self, coroutine):
+        # A task of its own goes on after the client has closed the connection.
+        task = asyncio.ensure_future(coroutine)
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
+        return task
+
+
+def run(server_class, description):
+    """Run a stand-in as a process until it is ended by a signal."""
+    parser = argparse.ArgumentParser(description=description)
+    parser.add_argument("--port", type=int, required=True)
+    parser.add_argument("--host", default="127.0.0.1")
+    parser.add_argument("--faults", default="{}", help="JSON, as POST /-/faults")
+    arguments = parser.parse_args()
+
+    async def serve():
+        server = server_class()
+        server.faults.change(json.loads(arguments.faults))
+        await server.start(arguments.port, arguments.host)
+        print(f"listening on {server.url}", flush=True)
+        await asyncio.Event().wait()
+
+    try:
+        asyncio.run(serve())
+    except KeyboardInterrupt:
+        pass
--- /dev/null
+++ b/goldcresthoist/tests/standins/objects.py
@@ -0,0 +1,98 @@
+"""Stand-in of the object store: S3 protocol, objects in memory."""
+
+import hashlib
+from urllib.parse import unquote
+from xml.sax.saxutils import escape
+
+from aiohttp import web
+
+from goldcresthoist.tests.standins._server import FaultyServer, run
+
+__all__ = ["ObjectsStandin"]
+
+PAGE_NAMES = 1000
+_NAMESPACE = "http://s3.amazonaws.com/doc/2006-03-01/"
+
+
+class ObjectsStandin(FaultyServer):
+    """Keeps the objects of all buckets in a mapping by ``bucket/name``."""
+
+    def __init__(self):
+        super().__init__()
+        self.objects = {}
+
+    def operation_of(self, request):
+        """Return the name of the operation that a request asks for."""
+        if request.method == "GET" and "list-type" in request.query:
+            return "List"
+        return request.method.capitalize()
+
+    def is_write(self, operation):
+        """Return whether an operation changes objects."""
+        return operation in ("Put", "Delete")
+
+    def throttled(self):
+        """Return the answer to a call over the rate limit."""
+        return _error(503, "SlowDown")
+
+    def process(self, operation, request, body):
+        """Run one operation; no other runs in between."""
+        if refusal := _refusal(request, body):
+            return refusal
+        name = unquote(request.rel_url.raw_path).removeprefix("/")
+        match operation:
+            case "Put":
+                self.objects[name] = body
+                etag = hashlib.md5(body).hexdigest()
+                return web.Response(headers={"ETag": f'"{etag}"'})
+            case "Get" if name in self.objects:
+                return web.Response(
+                    body=self.objects[name], content_type="application/octet-stream"
+                )
+            case "Delete":
+                self.objects.pop(name, None)
+                return web.Response(status=204)
+            case "List":
+                return self._list(name, request.query)
+        return _error(404, "NoSuchKey")
+
+    def _list(self, bucket, query):
+        start = len(bucket) + 1
+        after = query.get("continuation-token", "")
+        names = sorted(
+            name[start:]
+            for name in self.objects
+            if name.startswith(f"{bucket}/{query.get('prefix', '')}")
+            and name[start:] > after
+        )
+        page = names[:PAGE_NAMES]
+        keys = "".join(
+            f"<Contents><Key>{escape(name)}</Key></Contents>" for name in page
+        )
+        more = ""
+        if len(names) > len(page):
+            token = escape(page[-1])
+            more = f"<NextContinuationToken>{token}</NextContinuationToken>"
+        text = f'<ListBucketResult xmlns="{_NAMESPACE}">{keys}{more}</ListBucketResult>'
+        return web.Response(text=text, content_type="application/xml")
+
+
+def _refusal(request, body):
+    if "/s3/aws4_request" not in request.headers.get("Authorization", ""):
+        return _error(403, "AccessDenied")
+    stated = request.headers.get("X-Amz-Content-SHA256", "UNSIGNED-PAYLOAD")
+    if stated not in ("UNSIGNED-PAYLOAD", hashlib.sha256(body).hexdigest()):
+        return _error(400, "XAmzContentSHA256Mismatch")
+    return None
+
+
+def _error(status, code):
+    return web.Response(
+        status=status,
+        text=f"<Error><Code>{code}</Code></Error>",
+        content_type="application/xml",
+    )
+
+
+if __name__ == "__main__":
+    run(ObjectsStandin, __doc__)
