--- a/goldcresthoist/config/__init__.py
+++ b/goldcresthoist/config/__init__.py
@@ -6,6 +6,7 @@
     InvalidAnswer,
     InvalidSetting,
 )
+from goldcresthoist.config.generation import generate
 from goldcresthoist.config.model import (
     AtMostOnce,
     Read,
@@ -15,6 +16,7 @@
     Upload,
     WorkRule,
 )
+from goldcresthoist.config.questionnaire import Questionnaire
 from goldcresthoist.config.settings import Settings, split_address
 
 __all__ = [
@@ -23,6 +25,7 @@
     "ConfigurationConflict",
     "InvalidAnswer",
     "InvalidSetting",
+    "Questionnaire",
     "Read",
     "Repeatable",
     "ServiceConfiguration",
@@ -30,5 +33,6 @@
     "TeamConfiguration",
     "Upload",
     "WorkRule",
+    "generate",
     "split_address",
 ]
--- a/goldcresthoist/config/_checking.py
+++ b/goldcresthoist/config/_checking.py
@@ -10,6 +10,28 @@
 _UNKNOWN_FIELD = re.compile(r"unknown field `(?P<name>[^`]+)`")
 _MISSING_FIELD = re.compile(r"missing required field `(?P<name>[^`]+)`")
 
+# Values with an explicit tag, such as ``!!int ''``, raise other errors than PyYAML's.
+_YAML_ERRORS = (yaml.YAMLError, ValueError, TypeError, LookupError, AttributeError)
+
+# Errors end up in logs, where secrets must not.
+_SECRET_KEYS = frozenset({"access_key", "secret_key", "shared_key"})
+
+
+class _UniqueKeyLoader(yaml.SafeLoader):
+    """Loader that rejects a key that occurs twice, of which YAML keeps the last."""
+
+    def construct_mapping(self, node, deep=False):
+        seen = set()
+        for key_node, _ in node.value:
+            key = (key_node.tag, str(key_node.value))
+            if key in seen:
+                raise yaml.constructor.ConstructorError(
+                    problem=f"key {key_node.value!r} occurs twice",
+                    problem_mark=key_node.start_mark,
+                )
+            seen.add(key)
+        return super().construct_mapping(node, deep)
+
 
 def load_yaml(text, source, error):
     """Parse a YAML mapping.
@@ -24,8 +46,10 @@
         Raised when the text is not a YAML mapping.
     """
     try:
-        document = yaml.safe_load(text)
-    except yaml.YAMLError as exc:
+        document = yaml.load(text, _UniqueKeyLoader)
+    except RecursionError as exc:
+        raise error(f"{source}: not valid YAML: nested too deeply") from exc
+    except _YAML_ERRORS as exc:
         place = getattr(exc, "problem_mark", None)
         line = f" line {place.line + 1}" if place else ""
         problem = getattr(exc, "problem", None) or "cannot be parsed"
@@ -61,6 +85,8 @@
     if missing := _MISSING_FIELD.search(reason):
         return f"key {_join(path, missing['name'])} is missing"
     key = path.removeprefix("$").lstrip(".") or "(document)"
+    if key in _SECRET_KEYS:
+        return f"key {key} (value not shown): {reason}"
     return f"key {key} = {_value_at(document, path)!r}: {reason}"
 
 
--- a/goldcresthoist/config/model.py
+++ b/goldcresthoist/config/model.py
@@ -63,18 +63,30 @@
     connections: int = 220
 
     def rule_for(self, method, path):
-        """Return the rule with the longest matching prefix, or None."""
+        """Return the rule with the longest matching prefix, or None.
+
+        A prefix matches whole segments: ``/ledger`` matches ``/ledger/7`` and
+        ``/ledger?page=2``, but not ``/ledgers``.
+        """
+        path = path.partition("?")[0]
         best = None
         for rule in self.work:
-            if rule.method != method or not path.startswith(rule.path_prefix):
+            if rule.method != method or not _has_prefix(path, rule.path_prefix):
                 continue
             if best is None or len(rule.path_prefix) > len(best.path_prefix):
                 best = rule
         return best
 
 
+def _has_prefix(path, prefix):
+    if not path.startswith(prefix):
+        return False
+    return prefix.endswith("/") or path[len(prefix) : len(prefix) + 1] in ("", "/")
+
+
 class TeamConfiguration(msgspec.Struct, frozen=True):
-    """All services of one team."""
+    """All services of one team, and the failure domains that the team runs in."""
 
     team: str
     services: tuple[ServiceConfiguration, ...]
+    failure_domains: tuple[str, ...] = ()
