callpath: thin path from caller to upstream over framed links

Change: HTTP server for callers, connection pool to the own upstream, authenticated links with flow control, routing at the entry daemon, admission and relaying at the upstream's daemon, the upstream stand-in, a node for tests, and the request path benchmark.

--- a/goldcresthoist/callers/__init__.py
+++ b/goldcresthoist/callers/__init__.py
@@ -1,3 +1,25 @@
 """HTTP/1.1 server for callers."""
 
-__all__ = []
+from goldcresthoist.callers.errors import (
+    BadRequest,
+    CallerError,
+    CallerGone,
+    HeadersTooLarge,
+)
+from goldcresthoist.callers.exchange import Exchange
+from goldcresthoist.callers.refusal import Outcome, Refusal, Scope
+from goldcresthoist.callers.request import CallerRequest
+from goldcresthoist.callers.server import CallerServer
+
+__all__ = [
+    "BadRequest",
+    "CallerError",
+    "CallerGone",
+    "CallerRequest",
+    "CallerServer",
+    "Exchange",
+    "HeadersTooLarge",
+    "Outcome",
+    "Refusal",
+    "Scope",
+]
--- /dev/null
+++ b/goldcresthoist/callers/exchange.py
@@ -0,0 +1,143 @@
+"""The answer to one request of a caller."""
+
+import socket
+import struct
+
+import msgspec
+
+from goldcresthoist.callers.errors import CallerGone
+from goldcresthoist.callers.refusal import Refusal
+from goldcresthoist.http_fields import BODYLESS_STATUSES, REASONS, field
+
+__all__ = ["Exchange"]
+
+_LINGER_ZERO = struct.pack("ii", 1, 0)
+
+
+class Exchange:
+    """Writes the answer to one request and keeps its framing correct.
+
+    The answer is complete only when `finished` is true. The connection closes a
+    request whose answer was not finished.
+    """
+
+    __slots__ = (
+        "bodyless",
+        "chunked",
+        "connection",
+        "continue_due",
+        "finished",
+        "http10",
+        "keep_alive",
+        "remaining",
+        "started",
+    )
+
+    def __init__(self, connection, request, closing):
+        self.connection = connection
+        self.keep_alive = not closing and request.keep_alive
+        self.http10 = request is not None and request.http10
+        self.bodyless = request is not None and request.method == "HEAD"
+        self.continue_due = request is not None and request.expects_continue
+        self.started = False
+        self.finished = False
+        self.chunked = False
+        self.remaining = None
+
+    def allow_body(self):
+        """Send ``100 Continue`` when the caller waits for it."""
+        if self.continue_due and not self.started:
+            self.continue_due = False
+            self.connection.transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+
+    def start(self, status, headers, body=b"", end=False):
+        """Write the head and the first bytes of the body.
+
+        ``headers`` are end-to-end headers. When ``end`` is true the body is complete.
+        """
+        self.started = True
+        bodyless = self.bodyless or status in BODYLESS_STATUSES
+        self.bodyless = bodyless
+        parts = [b"HTTP/1.1 %d %b\r\n" % (status, REASONS.get(status, b"Unknown"))]
+        for name, value in headers:
+            parts.append(b"%b: %b\r\n" % (name, value))
+        self._add_framing(parts, headers, body, end)
+        if not self.keep_alive or (self.continue_due and not end):
+            parts.append(b"Connection: close\r\n")
+            self.keep_alive = False
+        elif self.http10:
+            parts.append(b"Connection: keep-alive\r\n")
+        parts.append(b"\r\n")
+        if body and not bodyless:
+            parts.append(self._framed(body))
+        if end:
+            self._finish(parts)
+        self.connection.transport.write(b"".join(parts))
+
+    async def send(self, body):
+        """Write body bytes and wait while the caller is slow."""
+        if body and not self.bodyless:
+            self.connection.transport.write(self._framed(body))
+        await self.connection.drain()
+
+    def finish(self):
+        """Mark the body as complete.
+
+        Raises
+        ------
+        ValueError
+            When the body is shorter than its Content-Length.
+        """
+        parts = []
+        self._finish(parts)
+        if parts:
+            self.connection.transport.write(b"".join(parts))
+
+    def refuse(self, code, message, retry_after_ms=0):
+        """Answer with a refusal that says the request did not run."""
+        self.answer(Refusal(code, message, retry_after_ms=retry_after_ms))
+
+    def answer(self, refusal):
+        """Answer with a refusal."""
+        body = msgspec.json.encode(refusal)
+        self.start(refusal.status(), refusal.headers(len(body)), body, True)
+
+    def abort(self):
+        """Reset the connection, so that the caller sees the answer was cut."""
+        sock = self.connection.transport.get_extra_info("socket")
+        if sock is not None and not self.connection.closed:
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _LINGER_ZERO)
+        self.connection.transport.abort()
+
+    def _add_framing(self, parts, headers, body, end):
+        length = field(headers, b"content-length")
+        if self.bodyless:
+            self.remaining = None
+        elif length is not None:
+            self.remaining = int(length)
+        elif end:
+            self.remaining = len(body)
+            parts.append(b"Content-Length: %d\r\n" % len(body))
+        elif self.http10:
+            self.keep_alive = False
+        else:
+            self.chunked = True
+            parts.append(b"Transfer-Encoding: chunked\r\n")
+
+    def _framed(self, body):
+        if self.connection.closed:
+            raise CallerGone("the caller closed its connection")
+        if self.remaining is not None:
+            self.remaining -= len(body)
+            if self.remaining < 0:
+                raise ValueError("the body is longer than its Content-Length")
+        if self.chunked:
+            return b"%x\r\n%b\r\n" % (len(body), body)
+        return body
+
+    def _finish(self, parts):
+        if self.remaining:
+            raise ValueError("the body is shorter than its Content-Length")
+        if self.chunked:
+            parts.append(b"0\r\n\r\n")
+        self.finished = True
--- /dev/null
+++ b/goldcresthoist/callers/request.py
@@ -0,0 +1,194 @@
+"""Requests of callers and their parser."""
+
+import re
+
+import httptools
+
+from goldcresthoist.callers.errors import BadRequest, HeadersTooLarge
+from goldcresthoist.http_fields import MAX_HEADER_BYTES
+from goldcresthoist.streams import BodyStream
+
+__all__ = ["CallerRequest", "RequestParser"]
+
+# Visible ASCII without "#", which has no place in a request target.
+_SAFE_TARGET = re.compile(rb"/[\x21\x22\x24-\x7e]*")
+_FRAMING = frozenset((b"content-length", b"transfer-encoding", b"host", b"expect"))
+_ABSOLUTE = re.compile(rb"https?://[^/?#]*", re.IGNORECASE)
+
+
+class CallerRequest:
+    """One request: its head, and its body as a stream.
+
+    Header names are lower case. ``content_length`` is None for a chunked body.
+    """
+
+    __slots__ = (
+        "body",
+        "chunked",
+        "content_length",
+        "expects_continue",
+        "headers",
+        "http10",
+        "keep_alive",
+        "method",
+        "target",
+    )
+
+    def __init__(self):
+        self.method = ""
+        self.target = ""
+        self.headers = []
+        self.content_length = 0
+        self.chunked = False
+        self.expects_continue = False
+        self.keep_alive = True
+        self.http10 = False
+        self.body = None
+
+
+class RequestParser:
+    """Turns the bytes of one connection into requests.
+
+    ``on_request(request)`` is called when the head of a request is complete;
+    ``on_consumed(size)`` when body bytes were consumed.
+    """
+
+    def __init__(self, on_request, on_consumed):
+        self.on_request = on_request
+        self.on_consumed = on_consumed
+        self.parser = httptools.HttpRequestParser(self)
+        self.request = None
+        self.framing = []
+        self.url = b""
+        self.head_bytes = 0
+        self.fed_bytes = 0
+        self.in_head = False
+
+    def feed(self, data):
+        """Parse received bytes.
+
+        Raises
+        ------
+        BadRequest, HeadersTooLarge
+            Nothing more can be parsed; the connection must be closed.
+        """
+        try:
+            self.parser.feed_data(data)
+        except httptools.HttpParserUpgrade as exc:
+            raise BadRequest("protocol upgrades are not supported") from exc
+        except httptools.HttpParserCallbackError as exc:
+            raise _cause(exc) from exc
+        except httptools.HttpParserError as exc:
+            raise BadRequest(f"not valid HTTP/1.1: {exc}") from exc
+        if self.in_head:
+            # The parser reports a header only when it is complete, so unfinished
+            # ones are counted by what was fed since the head began.
+            self.fed_bytes += len(data)
+            if self.fed_bytes > 2 * MAX_HEADER_BYTES:
+                raise HeadersTooLarge(f"headers exceed {MAX_HEADER_BYTES} bytes")
+
+    def on_message_begin(self):
+        """Start a request."""
+        self.request = CallerRequest()
+        self.framing = []
+        self.url = b""
+        self.head_bytes = 0
+        self.fed_bytes = 0
+        self.in_head = True
+
+    def on_url(self, url):
+        """Add a part of the request target."""
+        self.url += url
+        self.head_bytes += len(url)
+
+    def on_header(self, name, value):
+        """Add one header."""
+        if value is None:
+            value = b""
+        name = name.lower()
+        self.head_bytes += len(name) + len(value) + 4
+        self.request.headers.append((name, value))
+        if name in _FRAMING:
+            self.framing.append((name, value))
+
+    def on_headers_complete(self):
+        """Check the head and hand the request over."""
+        self.in_head = False
+        request = self.request
+        if self.head_bytes > MAX_HEADER_BYTES:
+            raise HeadersTooLarge(
+                f"headers of {self.head_bytes} bytes exceed {MAX_HEADER_BYTES} bytes"
+            )
+        request.method = self.parser.get_method().decode("ascii")
+        request.target = _origin_form(self.url)
+        request.http10 = self.parser.get_http_version() != "1.1"
+        request.keep_alive = self.parser.should_keep_alive()
+        _read_framing(request, self.framing)
+        request.body = BodyStream(self.on_consumed)
+        self.on_request(request)
+
+    def on_body(self, data):
+        """Add body bytes."""
+        self.request.body.feed(data)
+
+    def on_message_complete(self):
+        """End the body."""
+        self.request.body.end()
+        self.request = None
+
+    def fail(self, error):
+        """Fail the body that is being received, if there is one."""
+        if self.request is not None and self.request.body is not None:
+            self.request.body.fail(error)
+
+
+def _cause(exc):
+    cause = exc.__context__ or exc.__cause__
+    if isinstance(cause, BadRequest | HeadersTooLarge):
+        return cause
+    return BadRequest(f"not valid HTTP/1.1: {cause}")
+
+
+def _origin_form(url):
+    if not url.startswith(b"/"):
+        absolute = _ABSOLUTE.match(url)
+        if absolute is None:
+            raise BadRequest("the request target must be a path")
+        url = url[absolute.end() :] or b"/"
+    if _SAFE_TARGET.fullmatch(url) is None:
+        raise BadRequest("the request target has bytes that are not allowed")
+    return url.decode("ascii")
+
+
+def _read_framing(request, framing):
+    lengths = []
+    hosts = 0
+    for name, value in framing:
+        if name == b"content-length":
+            lengths.append(value)
+        elif name == b"transfer-encoding":
+            if value.strip().lower() != b"chunked" or request.chunked:
+                raise BadRequest("the only transfer encoding allowed is chunked")
+            request.chunked = True
+        elif name == b"host":
+            hosts += 1
+        elif name == b"expect":
+            if value.lower() != b"100-continue":
+                raise BadRequest("the only expectation allowed is 100-continue")
+            request.expects_continue = True
+    _check_framing(request, lengths, hosts)
+
+
+def _check_framing(request, lengths, hosts):
+    if hosts > 1 or (hosts == 0 and not request.http10):
+        raise BadRequest("exactly one Host header is required")
+    if request.chunked:
+        if lengths:
+            raise BadRequest("Content-Length and Transfer-Encoding conflict")
+        if request.http10:
+            raise BadRequest("HTTP/1.0 has no transfer encoding")
+        request.content_length = None
+    elif lengths:
+        if len(lengths) > 1 or not lengths[0].isdigit():
+            raise BadRequest("Content-Length must be one whole number")
+        request.content_length = int(lengths[0])
--- /dev/null
+++ b/goldcresthoist/daemon/kinds.py
@@ -0,0 +1,10 @@
+"""Groups of work kinds, as tuples for quick type checks."""
+
+from goldcresthoist.config.model import AtMostOnce, Read, Repeatable, Upload
+
+__all__ = ["KEYED", "REPEATABLE"]
+
+# Work that must not run twice and is named by an idempotency key.
+KEYED = (AtMostOnce, Upload)
+# Work that may be sent to another upstream after a failure.
+REPEATABLE = (Read, Repeatable)
--- /dev/null
+++ b/goldcresthoist/daemon/routed_call.py
@@ -0,0 +1,292 @@
+"""One request of a caller on its way through upstreams."""
+
+import asyncio
+from time import monotonic
+
+from goldcresthoist.callers import Refusal
+from goldcresthoist.config.model import Read
+from goldcresthoist.daemon.answers import (
+    RETRIABLE_CODES,
+    refusal_after_failure,
+    refusal_from_frame,
+)
+from goldcresthoist.daemon.attempt import Attempt
+from goldcresthoist.daemon.interim import Outcome
+from goldcresthoist.daemon.kinds import REPEATABLE
+from goldcresthoist.links import CallFailed, LinkClosed, LinkError
+from goldcresthoist.links.frames import Failed, FailureKind, Head, Refuse
+
+__all__ = ["RoutedCall"]
+
+LINK_WAIT_S = 1.0
+SUSPECT_ACK_S = 0.2
+# Statuses of an upstream that fails rather than answers.
+FAILED_STATUSES = frozenset((500, 502, 503, 504))
+
+
+class RoutedCall:
+    """Sends a request to upstreams until one answers, within the budgets."""
+
+    __slots__ = (
+        "attempts",
+        "body_complete",
+        "body_started",
+        "crash_count",
+        "deadline",
+        "exchange",
+        "exclude",
+        "fingerprint",
+        "headers",
+        "key",
+        "loop",
+        "prefix",
+        "request",
+        "route",
+        "router",
+        "rule",
+        "started",
+        "target",
+    )
+
+    def __init__(self, router, route, rule, request, exchange, deadline):
+        self.router = router
+        self.route = route
+        self.rule = rule
+        self.request = request
+        self.exchange = exchange
+        self.deadline = deadline
+        self.loop = router.loop
+        self.target = ""
+        self.headers = ()
+        self.key = ""
+        self.fingerprint = b""
+        self.prefix = b""
+        self.body_complete = False
+        self.body_started = False
+        self.crash_count = 0
+        self.exclude = ()
+        self.attempts = []
+        # Whether an upstream may have run the request.
+        self.started = False
+
+    async def run(self):
+        """Answer the request."""
+        self.route.budget.record_call()
+        attempt = await self._first_attempt()
+        if attempt is None:
+            message = f"no upstream of {self.route.name} can be reached"
+            self.router.refuse(self.exchange, "no-upstream", message, 1000)
+            return
+        try:
+            while True:
+                attempt, outcome = await self._settle(attempt)
+                retry = await self._retry(attempt, outcome)
+                if retry is None:
+                    break
+                attempt = retry
+            await self._answer(attempt, outcome)
+        finally:
+            for attempt in self.attempts:
+                attempt.give_up()
+
+    def on_deadline(self):
+        """Answer a request whose time is over."""
+        if self.exchange.started:
+            self.exchange.abort()
+            return
+        message = "the deadline passed"
+        if self.started:
+            failure = Failed(0, FailureKind.TIMED_OUT, message, None)
+            refusal = refusal_after_failure(self.rule.kind, failure)
+        else:
+            refusal = Refusal("deadline-exceeded", message)
+        self.router.answer(self.exchange, refusal)
+
+    async def _first_attempt(self):
+        attempt = self._open_attempt()
+        while attempt is None:
+            wait_s = min(LINK_WAIT_S, self.deadline - monotonic())
+            if not await self.route.wait_for_link(wait_s):
+                break
+            attempt = self._open_attempt()
+        return attempt
+
+    def _open_attempt(self):
+        """Send the request to the upstream that is chosen; None when there is none."""
+        while True:
+            choice = self.route.choose(self.rule, monotonic(), self.exclude)
+            if choice is None:
+                return None
+            view, peer = choice
+            self.exclude = (*self.exclude, view)
+            try:
+                attempt = Attempt(self, view, peer)
+            except LinkClosed:
+                # Nothing was sent.
+                continue
+            self.attempts.append(attempt)
+            self.started = True
+            return attempt
+
+    async def _settle(self, attempt):
+        """Return the attempt that decides and its outcome; may hedge a read."""
+        if not isinstance(self.rule.kind, Read) or not self.body_complete:
+            return attempt, await self._outcome(attempt)
+        delay_s = self.route.hedges.delay_s(self.rule)
+        if delay_s >= self.deadline - monotonic():
+            return attempt, await self._outcome(attempt)
+        outcome = await attempt.outcome(delay_s)
+        if outcome is not None:
+            return attempt, outcome
+        hedge = self._open_hedge()
+        if hedge is None:
+            return attempt, await self._outcome(attempt)
+        return await self._race(attempt, hedge)
+
+    async def _outcome(self, attempt):
+        """Wait for the outcome until the deadline."""
+        outcome = await attempt.outcome(self.deadline - monotonic())
+        if outcome is None:
+            raise TimeoutError
+        return outcome
+
+    def _open_hedge(self):
+        if len(self.attempts) > 1 or not self.route.budget.try_hedge():
+            return None
+        hedge = self._open_attempt()
+        if hedge is not None:
+            self.router.counters.add("hedges", service=self.route.name)
+        return hedge
+
+    async def _race(self, *attempts):
+        """Wait for the first answer; the other attempt is cancelled."""
+        tasks = {self.loop.create_task(item.outcome()): item for item in attempts}
+        try:
+            while True:
+                done, _ = await asyncio.wait(
+                    tasks,
+                    timeout=self.deadline - monotonic(),
+                    return_when=asyncio.FIRST_COMPLETED,
+                )
+                if not done:
+                    raise TimeoutError
+                for task in done:
+                    attempt, outcome = tasks.pop(task), task.result()
+                    if _is_answer(outcome) or not tasks:
+                        self._cancel_others(attempt)
+                        return attempt, outcome
+                    await self._record_failure(attempt, outcome)
+        finally:
+            for task in tasks:
+                task.cancel()
+
+    def _cancel_others(self, winner):
+        for attempt in self.attempts:
+            if attempt is not winner:
+                attempt.give_up()
+
+    async def _retry(self, attempt, outcome):
+        """Return a further attempt, or None when the outcome is final."""
+        if _is_answer(outcome):
+            return None
+        await self._record_failure(attempt, outcome)
+        reason = self._retry_reason(outcome)
+        if reason is None or self.body_started:
+            return None
+        # A draining upstream tells every daemon at once, so these retries are few and
+        # a planned stop must not fail a call for lack of budget.
+        budget = self.route.budget
+        if reason != "draining" and not budget.try_retry():
+            self.router.counters.add("retries_denied")
+            return None
+        retry = self._open_attempt()
+        if retry is not None:
+            self.router.counters.add("retries", reason=reason)
+            attempt.give_up()
+        return retry
+
+    def _retry_reason(self, outcome):
+        repeatable = isinstance(self.rule.kind, REPEATABLE)
+        match outcome:
+            case Refuse(code=code):
+                return code if code in RETRIABLE_CODES else None
+            case Failed(kind=FailureKind.TIMED_OUT):
+                return None
+            case Failed(kind=kind) if repeatable and self.crash_count < 2:
+                return kind
+            case Head() if repeatable:
+                return "failed-status"
+        return None
+
+    async def _record_failure(self, attempt, outcome):
+        match outcome:
+            case Refuse():
+                attempt.end(Outcome.REFUSED, outcome.load)
+            case Failed(kind=FailureKind.TIMED_OUT):
+                attempt.end(Outcome.CANCELLED, outcome.load)
+            case Failed(kind=FailureKind.CRASHED):
+                attempt.end(Outcome.FAILED, outcome.load)
+                await self._tell_crash(attempt, outcome)
+            case _:
+                attempt.end(Outcome.FAILED, outcome.load)
+
+    async def _tell_crash(self, attempt, failed):
+        """Tell every daemon of the service before the request may run again."""
+        self.crash_count = max(failed.crash_count, self.crash_count + 1)
+        instance = attempt.view.instance
+        if self.router.server.service == self.route.name and not attempt.local:
+            self.router.server.add_suspect(self.fingerprint, self.crash_count, instance)
+        now = monotonic()
+        links = [p.link for p in self.route.peers.values() if p.is_usable(now)]
+        tasks = [
+            self.loop.create_task(
+                link.tell_suspect(self.fingerprint, self.crash_count, instance)
+            )
+            for link in links
+        ]
+        if tasks:
+            _, late = await asyncio.wait(tasks, timeout=SUSPECT_ACK_S)
+            for task in late:
+                task.cancel()
+
+    async def _answer(self, attempt, outcome):
+        match outcome:
+            case Head():
+                await self._relay(attempt, outcome)
+            case Refuse():
+                self.router.answer(self.exchange, refusal_from_frame(outcome))
+            case Failed():
+                refusal = refusal_after_failure(self.rule.kind, outcome)
+                self.router.answer(self.exchange, refusal)
+
+    async def _relay(self, attempt, head):
+        """Pass the answer on completely, or cut the caller's connection."""
+        exchange = self.exchange
+        body = attempt.call.body
+        try:
+            data = body.take()
+            ended = body.exhausted
+            exchange.start(head.status, head.headers, data, ended)
+            if not ended:
+                async with asyncio.timeout_at(self.deadline):
+                    await _relay_rest(body, exchange)
+        except (CallFailed, LinkError, ValueError):
+            self.router.counters.add("answers_cut")
+            attempt.end(Outcome.FAILED, None)
+            exchange.abort()
+            return
+        attempt.end(Outcome.SUCCEEDED, head.load)
+        self.route.hedges.record(self.rule, attempt.latency_s)
+
+
+async def _relay_rest(body, exchange):
+    ended = False
+    while not ended:
+        data = await body.read()
+        ended = body.exhausted
+        await exchange.send(data)
+    exchange.finish()
+
+
+def _is_answer(outcome):
+    return type(outcome) is Head and outcome.status not in FAILED_STATUSES
--- /dev/null
+++ b/goldcresthoist/daemon/routes.py
@@ -0,0 +1,112 @@
+"""What the entry daemon keeps for each service that it calls."""
+
+import asyncio
+from time import monotonic
+
+from goldcresthoist.daemon.interim import HedgeTimer, UpstreamPool, UpstreamView
+
+__all__ = ["ServiceRoute"]
+
+REFRESH_INTERVAL_S = 0.05
+
+
+class ServiceRoute:
+    """Upstreams of one service, the links to them, and its budgets.
+
+    Parameters
+    ----------
+    name : str
+        Name of the service.
+    router : CallRouter
+        Gives the directory, the links and the chooser.
+    """
+
+    def __init__(self, name, router):
+        self.name = name
+        self.router = router
+        self.configuration = None
+        self.budget = None
+        self.hedges = HedgeTimer()
+        self.views = UpstreamPool(router.failure_domain, router.region)
+        self.peers = {}
+        self.members = None
+        self.refresh_due = 0.0
+
+    def apply(self, configuration):
+        """Put a configuration in force."""
+        if configuration is not self.configuration:
+            self.configuration = configuration
+            self.budget = self.router.make_budget(configuration)
+
+    def refresh(self, now):
+        """Follow the membership."""
+        self.refresh_due = now + REFRESH_INTERVAL_S
+        members = self.router.directory.members_of(self.name)
+        if members == self.members:
+            return
+        self.members = list(members)
+        current = {m.instance: m for m in members if m.accepts_work()}
+        for view in tuple(self.views):
+            if view.instance not in current:
+                self._remove(view.instance)
+        for member in current.values():
+            self._add(member, now)
+
+    def choose(self, rule, now, exclude):
+        """Return the view and the peer for a call, or None.
+
+        Upstreams without a usable link are passed over; the peer of the own upstream
+        is None.
+        """
+        if now >= self.refresh_due:
+            self.refresh(now)
+        choose = self.router.chooser.choose
+        while (view := choose(self.views, rule, now, exclude)) is not None:
+            if view.instance == self.router.instance:
+                return view, None
+            peer = self.peers[view.instance]
+            if peer.is_usable(now):
+                return view, peer
+            exclude = (*exclude, view)
+        return None
+
+    async def wait_for_link(self, timeout_s):
+        """Wait until the first attempt to reach some upstream has ended.
+
+        Returns whether there was something to wait for.
+        """
+        waiting = [p for p in self.peers.values() if not p.first_attempt.is_set()]
+        if not waiting:
+            return False
+        tasks = [asyncio.create_task(p.first_attempt.wait()) for p in waiting]
+        try:
+            done, _ = await asyncio.wait(
+                tasks, timeout=timeout_s, return_when=asyncio.FIRST_COMPLETED
+            )
+        finally:
+            for task in tasks:
+                task.cancel()
+        return bool(done)
+
+    def _add(self, member, now):
+        if self.views.get(member.instance) is None:
+            self.views.add(
+                UpstreamView(member.instance, member.failure_domain, member.region, now)
+            )
+        if member.instance == self.router.instance:
+            return
+        self.peers[member.instance] = self.router.links.peer(
+            member, lambda load, name=member.instance: self._on_load(name, load)
+        )
+
+    def _remove(self, instance):
+        self.views.discard(instance)
+        if self.peers.pop(instance, None) is not None:
+            # Calls that still run there end before the link is closed.
+            self.router.links.retire(instance)
+
+    def _on_load(self, instance, load):
+        view = self.views.get(instance)
+        if view is not None:
+            now = monotonic()
+            self.router.chooser.record_load(view, load, now)
--- /dev/null
+++ b/goldcresthoist/daemon/serving.py
@@ -0,0 +1,224 @@
+"""Calls to the own upstream, for the daemons that open links to this one."""
+
+import asyncio
+from time import monotonic
+
+from loguru import logger
+
+from goldcresthoist.daemon.interim import AdmissionRefused, Draining, Saturated
+from goldcresthoist.daemon.kinds import KEYED
+from goldcresthoist.daemon.once import OnceRunner
+from goldcresthoist.daemon.upstream_call import UpstreamCall
+from goldcresthoist.links.frames import FailureKind, LoadReport
+
+__all__ = ["CallServer"]
+
+EXPIRY_INTERVAL_S = 0.02
+SUSPECT_RETRY_MS = 200
+
+
+class CallServer:
+    """Admits calls, runs them at the upstream and answers.
+
+    Parameters
+    ----------
+    service : str
+        Service of the own upstream.
+    instance : str
+        Name of the own daemon.
+    configurations
+        Has ``service(name) -> ServiceConfiguration | None``.
+    make_admission : callable
+        ``make_admission(configuration)`` returns an `Admission`.
+    upstream : ConnectionPool
+        Connections to the own upstream.
+    suspects : CrashSuspects
+        Requests that were running when an upstream of the service crashed.
+    ledger : OperationLedger
+        Records of at-most-once work.
+    counters
+        Has ``add(name, amount=1, **labels)``.
+    """
+
+    def __init__(
+        self,
+        service,
+        instance,
+        configurations,
+        make_admission,
+        upstream,
+        suspects,
+        ledger,
+        counters,
+    ):
+        self.service = service
+        self.instance = instance
+        self.configurations = configurations
+        self.make_admission = make_admission
+        self.upstream = upstream
+        self.suspects = suspects
+        self.once = OnceRunner(service, upstream, ledger)
+        self.counters = counters
+        self.configuration = None
+        self.admission = None
+        self.draining = False
+        self.loop = asyncio.get_running_loop()
+        self.kept = set()
+        # Calls at the upstream. Their deadlines are checked by one task, since a timer
+        # for each call costs more than the check.
+        self.active = set()
+        self.running = 0
+        self.idle = asyncio.Event()
+        self.idle.set()
+        self.expirer = self.loop.create_task(self._expire())
+
+    def load_report(self):
+        """Return the load as it is told to other daemons."""
+        if self.admission is None:
+            return LoadReport(0, 0, 0, 0.0, self.draining)
+        return self.admission.report()
+
+    def start_draining(self):
+        """Refuse new and waiting calls from now on; running calls go on."""
+        self.draining = True
+        if self.admission is not None:
+            self.admission.drain()
+
+    async def wait_until_idle(self):
+        """Wait until no call runs."""
+        await self.idle.wait()
+
+    def add_suspect(self, fingerprint, count, instance):
+        """Count a request that was running when another upstream crashed."""
+        self.counters.add("crash_suspects")
+        self.suspects.learn(fingerprint, count, monotonic())
+        logger.warning(
+            "event=crash-suspect fingerprint={} count={} instance={}",
+            fingerprint.hex(),
+            count,
+            instance,
+        )
+
+    async def close(self):
+        """Stop the tasks of this object."""
+        self.expirer.cancel()
+        for task in tuple(self.kept):
+            task.cancel()
+
+    async def serve(self, call):
+        """Answer one `IncomingCall`."""
+        try:
+            await self._admit(call)
+        except Exception as exc:
+            logger.exception("event=call-error service={}", self.service)
+            if not call.done:
+                call.fail(FailureKind.BROKEN, repr(exc), self.load_report())
+
+    async def _admit(self, call):
+        message = call.open
+        now = monotonic()
+        deadline = now + message.time_left_us / 1e6
+        rule = self._rule_for(message)
+        if rule is None:
+            self._refuse(call, "not-ready", "no configuration for this work yet")
+            return
+        if self.suspects.refused(message.fingerprint, now, message.crash_count):
+            self._refuse(call, "crash-suspect", "the request crashed two upstreams")
+            return
+        try:
+            slot = self.admission.acquire_nowait(rule, deadline, now)
+            if slot is None:
+                slot = await self.admission.acquire(rule, deadline, now)
+        except AdmissionRefused as exc:
+            self._refuse_admission(call, exc)
+            return
+        self.running += 1
+        self.idle.clear()
+        if isinstance(rule.kind, KEYED):
+            await self._keep(self._run_in_slot(call, rule, deadline, slot))
+        else:
+            await self._run_in_slot(call, rule, deadline, slot)
+
+    async def _run_in_slot(self, call, rule, deadline, slot):
+        fingerprint = call.open.fingerprint
+        succeeded = False
+        try:
+            now = monotonic()
+            crashes = call.open.crash_count
+            if not self.suspects.try_start(fingerprint, now, crashes):
+                message = "another request that may crash the upstream runs here"
+                self._refuse(call, "saturated", message, SUSPECT_RETRY_MS)
+                return
+            try:
+                succeeded = await self._run(call, rule, deadline)
+            finally:
+                self.suspects.end(fingerprint, succeeded)
+        finally:
+            self.admission.release(slot, monotonic())
+            self.running -= 1
+            if not self.running:
+                self.idle.set()
+
+    async def _run(self, call, rule, deadline):
+        upstream_call = UpstreamCall(call, self.upstream, rule, deadline, self)
+        if isinstance(rule.kind, KEYED):
+            return await self.once.run(upstream_call)
+        return await upstream_call.run()
+
+    def crashed(self, call):
+        """Count a crash of the upstream during a call; return its crash count."""
+        self.counters.add("upstream_crashes")
+        fingerprint = call.open.fingerprint
+        now = monotonic()
+        self.suspects.learn(fingerprint, call.open.crash_count, now)
+        return self.suspects.record_crash(fingerprint, now)
+
+    async def _keep(self, coroutine):
+        """Run to the end even when the caller leaves.
+
+        At-most-once work that was started must have its end recorded; cut off, its
+        result would be unknown to everybody.
+        """
+        task = self.loop.create_task(coroutine)
+        self.kept.add(task)
+        task.add_done_callback(self.kept.discard)
+        await asyncio.shield(task)
+
+    def _rule_for(self, message):
+        configuration = self.configurations.service(self.service)
+        if configuration is None or message.service != self.service:
+            return None
+        if configuration is not self.configuration:
+            self._apply(configuration)
+        for rule in configuration.work:
+            if rule.name == message.work:
+                return rule
+        return None
+
+    def _apply(self, configuration):
+        self.configuration = configuration
+        if self.admission is None:
+            self.admission = self.make_admission(configuration)
+        else:
+            self.admission.apply(configuration)
+
+    def _refuse(self, call, code, message, retry_after_ms=0):
+        call.refuse(code, message, self.load_report(), retry_after_ms)
+
+    def _refuse_admission(self, call, error):
+        match error:
+            case Draining():
+                self._refuse(call, "draining", "the upstream is leaving")
+            case Saturated():
+                retry_after_ms = max(1, round(error.retry_after_s * 1000))
+                self._refuse(call, "saturated", str(error), retry_after_ms)
+
+    async def _expire(self):
+        while True:
+            await asyncio.sleep(EXPIRY_INTERVAL_S)
+            now = monotonic()
+            for upstream_call in tuple(self.active):
+                if now >= upstream_call.deadline:
+                    upstream_call.expire()
+            if self.admission is not None and self.admission.queued:
+                self.admission.expire(now)
--- /dev/null
+++ b/goldcresthoist/daemon/upstream_call.py
@@ -0,0 +1,145 @@
+"""One call to the own upstream, streamed in both directions."""
+
+import asyncio
+from time import monotonic
+
+from goldcresthoist.http_fields import end_to_end
+from goldcresthoist.links.errors import LinkError
+from goldcresthoist.links.frames import MAX_BODY_BYTES, FailureKind
+from goldcresthoist.upstreams import (
+    RequestWriter,
+    UpstreamBroken,
+    UpstreamError,
+    UpstreamTimedOut,
+    UpstreamUnreachable,
+)
+
+__all__ = ["UpstreamCall"]
+
+
+class UpstreamCall:
+    """Relays one `IncomingCall` to the upstream.
+
+    ``server`` has ``load_report()``, ``crashed(call) -> int`` and ``active``, the calls
+    whose `expire` it calls when their deadline has passed.
+    """
+
+    __slots__ = (
+        "call",
+        "connection",
+        "deadline",
+        "rule",
+        "sender",
+        "server",
+        "upstream",
+    )
+
+    def __init__(self, call, upstream, rule, deadline, server):
+        self.call = call
+        self.rule = rule
+        self.upstream = upstream
+        self.deadline = deadline
+        self.server = server
+        self.connection = None
+        self.sender = None
+
+    async def run(self):
+        """Run the call; return whether its answer was complete."""
+        if not await self.connect():
+            return False
+        try:
+            answer = await self.send()
+            await self.relay(answer)
+            return True
+        except UpstreamError as exc:
+            await self.fail(exc)
+        except LinkError:
+            # The entry daemon is gone, and with it everybody who could be answered.
+            pass
+        finally:
+            self.release()
+        return False
+
+    async def connect(self):
+        """Get a connection; refuse the call when there is none."""
+        try:
+            self.connection = await self.upstream.acquire()
+        except UpstreamUnreachable as exc:
+            load = self.server.load_report()
+            self.call.refuse("no-upstream", str(exc), load)
+            return False
+        return True
+
+    async def send(self):
+        """Send the request; return the `UpstreamAnswer` when its head is here."""
+        message = self.call.open
+        self.server.active.add(self)
+        time_left_s = self.deadline - monotonic()
+        writer = RequestWriter(message, max(1, int(time_left_s * 1000)))
+        self.connection.send(writer.start(), message.method == "HEAD")
+        if not message.end:
+            self.call.admit()
+            self.sender = asyncio.create_task(self._send_rest(writer))
+        return await self.connection.head()
+
+    async def relay(self, answer):
+        """Pass the answer on as it arrives."""
+        call = self.call
+        body = answer.body
+        data = body.take()
+        first = data
+        if len(data) > MAX_BODY_BYTES:
+            first, data = data[:MAX_BODY_BYTES], data[MAX_BODY_BYTES:]
+        else:
+            data = b""
+        ended = body.exhausted
+        headers = end_to_end(answer.headers)
+        load = self.server.load_report()
+        call.reply(answer.status, headers, load, first, ended and not data)
+        if data:
+            await call.send_body(data, ended)
+        while not ended:
+            data = await body.read()
+            ended = body.exhausted
+            await call.send_body(data, ended)
+
+    async def fail(self, error):
+        """Tell the entry daemon that the call has no complete answer."""
+        kind = FailureKind.BROKEN
+        crash_count = 0
+        if isinstance(error, UpstreamTimedOut):
+            kind = FailureKind.TIMED_OUT
+        elif self.connection.lost_by_peer:
+            if await self.upstream.crashed(self.connection):
+                kind = FailureKind.CRASHED
+                crash_count = self.server.crashed(self.call)
+        load = self.server.load_report()
+        self.call.fail(kind, str(error), load, crash_count)
+
+    def expire(self):
+        """Give up because the deadline has passed."""
+        self.server.active.discard(self)
+        error = UpstreamTimedOut("the deadline passed")
+        self.connection.give_up(error)
+        self.call.window.fail(error)
+
+    def release(self):
+        """Return the connection, which is closed unless the exchange is complete."""
+        self.server.active.discard(self)
+        if self.sender is not None and not self.sender.done():
+            # The upstream answered early; the rest of the body must not be read as
+            # another request.
+            self.sender.cancel()
+            self.connection.reusable = False
+        self.upstream.release(self.connection)
+
+    async def _send_rest(self, writer):
+        body = self.call.body
+        try:
+            while data := await body.read():
+                await self.connection.send_body(writer.frame(data))
+            await self.connection.send_body(writer.finish())
+        except UpstreamBroken as exc:
+            self.connection.give_up(exc)
+        except Exception as exc:
+            self.connection.give_up(UpstreamBroken(f"the request broke off: {exc}"))
--- /dev/null
+++ b/goldcresthoist/links/acceptor.py
@@ -0,0 +1,177 @@
+"""The end of a link at the daemon beside the upstream, which accepts calls."""
+
+import asyncio
+
+from goldcresthoist.links.calls import IncomingCall
+from goldcresthoist.links.connection import HANDSHAKE_TIMEOUT_S, LinkConnection
+from goldcresthoist.links.errors import CorruptFrame, NotAuthenticated
+from goldcresthoist.links.frames import (
+    Body,
+    Cancel,
+    Challenge,
+    Credit,
+    Hello,
+    Open,
+    Ping,
+    Pong,
+    Suspect,
+    SuspectAck,
+    Welcome,
+)
+from goldcresthoist.links.handshake import (
+    NONCE_BYTES,
+    hello_mac,
+    new_nonce,
+    same_mac,
+    welcome_mac,
+)
+
+__all__ = ["AcceptorLink", "LinkServer"]
+
+# The opener pings several times a second, so a silent one is gone.
+SILENCE_LIMIT_S = 30.0
+SWEEP_INTERVAL_S = 5.0
+
+
+class LinkServer:
+    """Accepts links of other daemons.
+
+    ``service`` has ``serve(call)`` (a coroutine for one `IncomingCall`),
+    ``load_report()``, ``draining`` and ``add_suspect(fingerprint, count, instance)``.
+    """
+
+    def __init__(self, instance, key, service, counters):
+        self.instance = instance
+        self.key = key
+        self.service = service
+        self.counters = counters
+        self.links = set()
+        self.listener = None
+        self.sweeper = None
+
+    async def listen(self, host, port):
+        """Start to accept links."""
+        loop = asyncio.get_running_loop()
+        self.listener = await loop.create_server(
+            lambda: AcceptorLink(self), host, port, backlog=1024
+        )
+        self.sweeper = asyncio.create_task(self._sweep())
+
+    @property
+    def port(self):
+        """The port that is listened on."""
+        return self.listener.sockets[0].getsockname()[1]
+
+    def announce_load(self):
+        """Send the load on every link at once, as when draining starts."""
+        load = self.service.load_report()
+        for link in self.links:
+            if link.ready:
+                link.send(Pong(0, load))
+
+    async def close(self):
+        """Stop accepting and close every link."""
+        if self.sweeper is not None:
+            self.sweeper.cancel()
+        if self.listener is not None:
+            self.listener.close()
+        for link in tuple(self.links):
+            link.close("shutdown")
+        await asyncio.sleep(0)
+
+    async def _sweep(self):
+        while True:
+            await asyncio.sleep(SWEEP_INTERVAL_S)
+            now = asyncio.get_running_loop().time()
+            for link in tuple(self.links):
+                link.close_if_silent(now)
+
+
+class AcceptorLink(LinkConnection):
+    """Takes calls of one entry daemon; each runs in a task of its own."""
+
+    def __init__(self, server):
+        super().__init__(server.counters)
+        self.server = server
+        self.service = server.service
+        self.challenge = new_nonce()
+        self.peer = ""
+        self.calls = {}
+        self.heard_at = self.loop.time()
+
+    def connection_made(self, transport):
+        """Challenge the opening daemon."""
+        super().connection_made(transport)
+        self.server.links.add(self)
+        self.send(Challenge(self.challenge))
+
+    def close_if_silent(self, now):
+        """Close a link whose opener is gone or never authenticated itself."""
+        limit = SILENCE_LIMIT_S if self.ready else HANDSHAKE_TIMEOUT_S
+        if now - self.heard_at > limit:
+            self.close("silent" if self.ready else "handshake-timeout")
+
+    def on_message(self, message):
+        """Handle one message of the opening daemon."""
+        if not self.ready:
+            self._on_hello(message)
+            return
+        kind = type(message)
+        if kind is Open:
+            self._on_open(message)
+        elif kind is Body:
+            if call := self.calls.get(message.call_id):
+                call.on_body(message)
+        elif kind is Credit:
+            if call := self.calls.get(message.call_id):
+                call.on_credit(message)
+        elif kind is Cancel:
+            if call := self.calls.get(message.call_id):
+                call.cancel()
+        elif kind is Ping:
+            self.heard_at = self.loop.time()
+            self.send(Pong(message.seq, self.service.load_report()))
+        elif kind is Suspect:
+            self.service.add_suspect(
+                message.fingerprint, message.count, message.instance
+            )
+            self.send(SuspectAck(message.fingerprint))
+        else:
+            raise CorruptFrame(f"unexpected {kind.__name__} frame")
+
+    def on_closed(self):
+        """Cancel the calls of the entry daemon that is gone."""
+        self.server.links.discard(self)
+        for call in tuple(self.calls.values()):
+            call.cancel()
+
+    def _on_hello(self, message):
+        if type(message) is not Hello or len(message.nonce) != NONCE_BYTES:
+            raise NotAuthenticated("unexpected frame in the handshake")
+        key = self.server.key
+        mac = hello_mac(key, self.challenge, message.nonce, message.instance)
+        if not same_mac(mac, message.mac):
+            raise NotAuthenticated("the peer does not hold the shared key")
+        self.peer = message.instance
+        own = self.server.instance
+        mac = welcome_mac(key, self.challenge, message.nonce, self.peer, own)
+        self.mark_ready()
+        self.send(Welcome(own, mac))
+        self.send(Pong(0, self.service.load_report()))
+
+    def _on_open(self, message):
+        if message.call_id in self.calls:
+            raise CorruptFrame(f"call {message.call_id} is already open")
+        call = IncomingCall(self, message)
+        if self.service.draining:
+            load = self.service.load_report()
+            call.refuse("draining", "the upstream is leaving", load)
+            return
+        self.calls[message.call_id] = call
+        call.task = self.loop.create_task(self._serve(call))
+
+    async def _serve(self, call):
+        try:
+            await self.service.serve(call)
+        finally:
+            del self.calls[call.call_id]
--- a/goldcresthoist/links/frames.py
+++ b/goldcresthoist/links/frames.py
@@ -80,7 +80,8 @@
     """A call for the upstream beside the receiving daemon.
 
     ``time_left_us`` is relative since the clocks of two instances differ; the receiver
-    turns it into a deadline at once.
+    turns it into a deadline at once. More body bytes than ``body`` may be sent only
+    when the receiver has granted credit, which it does when the call holds a slot.
     """
 
     call_id: int
@@ -148,12 +149,16 @@
 
 
 class Failed(msgspec.Struct, frozen=True, array_like=True, tag=10):
-    """The call was started and has no usable answer."""
+    """The call was started and has no usable answer.
+
+    ``crash_count`` is how many crashes the sender counts for the request.
+    """
 
     call_id: int
     kind: str
     message: str
     load: LoadReport
+    crash_count: int = 0
 
 
 class Suspect(msgspec.Struct, frozen=True, array_like=True, tag=11):
@@ -206,15 +211,22 @@
 
 def encode_frame(message):
     """Return the bytes of one frame."""
-    payload = _encoder.encode(message)
-    return _LENGTH.pack(len(payload)) + payload
+    frame = bytearray(_LENGTH.size)
+    _encoder.encode_into(message, frame, _LENGTH.size)
+    _LENGTH.pack_into(frame, 0, len(frame) - _LENGTH.size)
+    return frame
 
 
 class FrameDecoder:
-    """Splits a byte stream into messages."""
+    """Splits a byte stream into messages.
+
+    ``max_bytes`` limits one frame; an acceptor keeps it small until the peer has
+    authenticated itself.
+    """
 
-    def __init__(self):
-        self.buffer = bytearray()
+    def __init__(self, max_bytes=MAX_FRAME_BYTES):
+        self.max_bytes = max_bytes
+        self.rest = b""
 
     def feed(self, data):
         """Add received bytes and return the complete messages.
@@ -224,21 +236,24 @@
         CorruptFrame
             When a length or a payload is not valid; the connection must be closed.
         """
-        buffer = self.buffer
-        buffer += data
+        if self.rest:
+            data = self.rest + data
+            self.rest = b""
         messages = []
         start = 0
-        while len(buffer) - start >= _LENGTH.size:
-            (length,) = _LENGTH.unpack_from(buffer, start)
-            if length > MAX_FRAME_BYTES:
-                raise CorruptFrame(f"frame of {length} bytes exceeds {MAX_FRAME_BYTES}")
+        size = len(data)
+        view = memoryview(data)
+        while size - start >= _LENGTH.size:
+            (length,) = _LENGTH.unpack_from(data, start)
+            if length > self.max_bytes:
+                raise CorruptFrame(f"frame of {length} bytes exceeds {self.max_bytes}")
             end = start + _LENGTH.size + length
-            if end > len(buffer):
+            if end > size:
                 break
-            messages.append(_decode(bytes(buffer[start + _LENGTH.size : end])))
+            messages.append(_decode(view[start + _LENGTH.size : end]))
             start = end
-        if start:
-            del buffer[:start]
+        if start < size:
+            self.rest = data[start:] if start else data
         return messages
 
 
--- /dev/null
+++ b/goldcresthoist/tests/pathnode.py
@@ -0,0 +1,133 @@
+"""A daemon with the call path only, for tests and the request path benchmark.
+
+``python -m goldcresthoist.tests.pathnode <json>`` runs one; the JSON has the fields of
+`NodePlan`.
+"""
+
+import asyncio
+import os
+import signal
+import sys
+
+import msgspec
+
+from goldcresthoist.callers import CallerServer
+from goldcresthoist.config import ServiceConfiguration, split_address
+from goldcresthoist.daemon.collector import tune_collector
+from goldcresthoist.daemon.interim import (
+    Admission,
+    Chooser,
+    CrashSuspects,
+    RetryBudget,
+    policy_named,
+)
+from goldcresthoist.daemon.routing import CallRouter
+from goldcresthoist.daemon.serving import CallServer
+from goldcresthoist.gossip.member import Member
+from goldcresthoist.links import LinkPool, LinkServer
+from goldcresthoist.tests.fakes import (
+    FakeLedger,
+    FixedConfigurations,
+    FixedDirectory,
+    PlainCounters,
+)
+from goldcresthoist.upstreams import ConnectionPool
+
+__all__ = ["NodePlan", "PathNode"]
+
+SHARED_KEY = b"k" * 32
+
+
+class NodePlan(msgspec.Struct, frozen=True):
+    """What one node is told."""
+
+    member: Member
+    caller_address: str
+    upstream_address: str
+    members: list[Member]
+    services: list[ServiceConfiguration]
+    policy: str = "default"
+
+
+class PathNode:
+    """Assembles the call path from its parts and fakes for the rest."""
+
+    def __init__(self, plan, ledger=None):
+        member = plan.member
+        self.plan = plan
+        self.counters = PlainCounters()
+        self.directory = FixedDirectory(plan.members)
+        self.configurations = FixedConfigurations(plan.services)
+        self.ledger = ledger or FakeLedger()
+        policy = policy_named(plan.policy)
+        self.chooser = Chooser(policy)
+        self.links = LinkPool(member.instance, SHARED_KEY, self.counters)
+        self.upstream = ConnectionPool(*split_address(plan.upstream_address))
+        self.server = CallServer(
+            member.service,
+            member.instance,
+            self.configurations,
+            lambda configuration: Admission(configuration, policy),
+            self.upstream,
+            CrashSuspects(),
+            self.ledger,
+            self.counters,
+        )
+        self.router = CallRouter(
+            member,
+            self.directory,
+            self.configurations,
+            self.chooser,
+            lambda configuration: RetryBudget.from_configuration(configuration, policy),
+            self.links,
+            self.server,
+            self.counters,
+        )
+        self.link_server = LinkServer(
+            member.instance, SHARED_KEY, self.server, self.counters
+        )
+        self.caller_server = CallerServer(self.router.handle, self.counters)
+
+    async def start(self):
+        """Listen for links and callers."""
+        await self.link_server.listen(*split_address(self.plan.member.link_address))
+        await self.caller_server.listen(*split_address(self.plan.caller_address))
+
+    def start_draining(self):
+        """Take no new work."""
+        self.server.start_draining()
+        self.link_server.announce_load()
+        self.caller_server.start_draining()
+
+    async def close(self):
+        """Stop everything."""
+        await self.caller_server.close()
+        await self.links.close()
+        await self.link_server.close()
+        await self.server.close()
+        await self.upstream.close()
+
+
+async def _run(plan):
+    node = PathNode(plan)
+    await node.start()
+    tune_collector()
+    print("ready", flush=True)
+    stop = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    loop.add_signal_handler(signal.SIGTERM, stop.set)
+    await stop.wait()
+    await node.close()
+
+
+def main():
+    """Run one node until SIGTERM."""
+    os.environ["UV_USE_IO_URING"] = "0"
+    import uvloop
+
+    plan = msgspec.json.decode(sys.argv[1].encode(), type=NodePlan)
+    uvloop.run(_run(plan))
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/goldcresthoist/tests/processes.py
@@ -0,0 +1,126 @@
+"""Starts nodes and stand-ins as processes of their own."""
+
+import socket
+import subprocess
+import sys
+from pathlib import Path
+
+import msgspec
+
+from goldcresthoist.config import Read, ServiceConfiguration, WorkRule
+from goldcresthoist.gossip.member import Member, MemberState
+from goldcresthoist.tests.pathnode import NodePlan
+
+__all__ = [
+    "Processes",
+    "free_port",
+    "make_member",
+    "make_plan",
+    "make_rule",
+    "make_service",
+]
+
+# The modules are imported from this work tree, wherever the tests are started.
+ROOT = Path(__file__).resolve().parent.parent.parent
+STOP_TIMEOUT_S = 10.0
+
+
+def free_port():
+    """Return a TCP port that is free now."""
+    with socket.socket() as sock:
+        sock.bind(("127.0.0.1", 0))
+        return sock.getsockname()[1]
+
+
+def make_member(instance, service, failure_domain="a"):
+    """Return a member with a free link port."""
+    return Member(
+        instance=instance,
+        incarnation=1,
+        service=service,
+        failure_domain=failure_domain,
+        region="r",
+        gossip_address="127.0.0.1:1",
+        link_address=f"127.0.0.1:{free_port()}",
+        control_address="127.0.0.1:1",
+        state=MemberState.ALIVE,
+    )
+
+
+def make_rule(name="read", method="GET", prefix="/", kind=None, **changes):
+    """Return a work rule; times are in seconds."""
+    values = {"usual_s": 0.1, "longest_s": 20.0, "weight": 1.0} | changes
+    return WorkRule(name, method, prefix, kind or Read(), **values)
+
+
+def make_service(name, *rules, **changes):
+    """Return a service configuration."""
+    values = {
+        "slots": 12,
+        "short_slots": 0,
+        "queue_limit": 48,
+        "retry_share": 0.08,
+        "hedge_share": 0.05,
+        "measuring_share": 0.01,
+    } | changes
+    return ServiceConfiguration(name=name, work=rules or (make_rule(),), **values)
+
+
+def make_plan(member, upstream_port, members, services):
+    """Return the plan of a node with a free caller port."""
+    return NodePlan(
+        member=member,
+        caller_address=f"127.0.0.1:{free_port()}",
+        upstream_address=f"127.0.0.1:{upstream_port}",
+        members=members,
+        services=services,
+    )
+
+
+class Processes:
+    """Processes that end with the ``with`` block."""
+
+    def __init__(self):
+        self.running = []
+
+    def __enter__(self):
+        return self
+
+    def __exit__(self, *exc_info):
+        for process in self.running:
+            process.terminate()
+        for process in self.running:
+            try:
+                process.wait(STOP_TIMEOUT_S)
+            except subprocess.TimeoutExpired:
+                process.kill()
+                process.wait()
+            process.stdout.close()
+
+    def start_upstream(self, port=0, **options):
+        """Start an upstream stand-in; return its process and port."""
+        arguments = ["--port", str(port)]
+        for name, value in options.items():
+            arguments += [f"--{name.replace('_', '-')}", str(value)]
+        module = "goldcresthoist.tests.standins.upstream"
+        process, line = self._start(module, arguments)
+        return process, int(line.rpartition(":")[2])
+
+    def start_node(self, plan):
+        """Start a node; return its process."""
+        arguments = [msgspec.json.encode(plan).decode()]
+        process, _ = self._start("goldcresthoist.tests.pathnode", arguments)
+        return process
+
+    def _start(self, module, arguments):
+        process = subprocess.Popen(
+            [sys.executable, "-m", module, *arguments],
+            stdout=subprocess.PIPE,
+            text=True,
+            cwd=ROOT,
+        )
+        self.running.append(process)
+        line = process.stdout.readline().strip()
+        if not line:
+            raise RuntimeError(f"{module} ended with status {process.wait()}")
+        return process, line
--- a/goldcresthoist/upstreams/__init__.py
+++ b/goldcresthoist/upstreams/__init__.py
@@ -1,3 +1,24 @@
 """HTTP/1.1 client to the upstream beside the daemon."""
 
-__all__ = []
+from goldcresthoist.upstreams.client import RequestWriter
+from goldcresthoist.upstreams.connection import UpstreamAnswer, UpstreamConnection
+from goldcresthoist.upstreams.errors import (
+    UpstreamBroken,
+    UpstreamCrashed,
+    UpstreamError,
+    UpstreamTimedOut,
+    UpstreamUnreachable,
+)
+from goldcresthoist.upstreams.pool import ConnectionPool
+
+__all__ = [
+    "ConnectionPool",
+    "RequestWriter",
+    "UpstreamAnswer",
+    "UpstreamBroken",
+    "UpstreamConnection",
+    "UpstreamCrashed",
+    "UpstreamError",
+    "UpstreamTimedOut",
+    "UpstreamUnreachable",
+]
--- /dev/null
+++ b/goldcresthoist/upstreams/client.py
@@ -0,0 +1,79 @@
+"""Encoding of requests to the own upstream."""
+
+from goldcresthoist.upstreams.errors import UpstreamBroken
+
+__all__ = ["RequestWriter"]
+
+
+class RequestWriter:
+    """Frames one request and keeps its length correct.
+
+    Parameters
+    ----------
+    call : Open
+        The call; its headers are end-to-end and have lower-case names.
+    time_left_ms : int
+        Time until the deadline.
+    """
+
+    __slots__ = ("call", "chunked", "remaining", "time_left_ms")
+
+    def __init__(self, call, time_left_ms):
+        self.call = call
+        self.time_left_ms = time_left_ms
+        self.chunked = False
+        self.remaining = None
+
+    def start(self):
+        """Return the head and the first bytes of the body.
+
+        Raises
+        ------
+        UpstreamBroken
+            When the body is longer than its Content-Length, or ends before it.
+        """
+        call = self.call
+        parts = [b"%b %b HTTP/1.1\r\n" % (call.method.encode(), call.target.encode())]
+        for name, value in call.headers:
+            if name == b"content-length":
+                self.remaining = int(value)
+            parts.append(b"%b: %b\r\n" % (name, value))
+        parts.append(b"goldcrest-deadline-ms: %d\r\n" % self.time_left_ms)
+        if call.key:
+            parts.append(b"idempotency-key: %b\r\n" % call.key.encode("latin-1"))
+        if self.remaining is None:
+            self._add_framing(parts)
+        parts.append(b"\r\n")
+        parts.append(self.frame(call.body))
+        if call.end:
+            parts.append(self.finish())
+        return b"".join(parts)
+
+    def frame(self, data):
+        """Return body bytes as they are sent."""
+        if not data:
+            return b""
+        if self.chunked:
+            return b"%x\r\n%b\r\n" % (len(data), data)
+        self.remaining -= len(data)
+        if self.remaining < 0:
+            # The surplus would be read as the start of another request.
+            raise UpstreamBroken("the request body is longer than its Content-Length")
+        return data
+
+    def finish(self):
+        """Return what ends the body."""
+        if self.chunked:
+            return b"0\r\n\r\n"
+        if self.remaining:
+            raise UpstreamBroken("the request body is shorter than its Content-Length")
+        return b""
+
+    def _add_framing(self, parts):
+        if not self.call.end:
+            self.chunked = True
+            parts.append(b"transfer-encoding: chunked\r\n")
+            return
+        self.remaining = len(self.call.body)
+        if self.remaining:
+            parts.append(b"content-length: %d\r\n" % self.remaining)
