Add UDP membership by gossip

Cause: daemons need to find each other, notice failures and pass on configuration versions without a coordination service. Change: package gossip with sealed datagrams (keyed BLAKE2b over content and destination, sequence window per sender), probes and indirect probes, suspicion and refutation by incarnation, bounded piggybacked updates under a byte ceiling, draining and leaving, join by first peers or hints, and rumours of configuration versions with digests for repair. Members are held in packed columns, indexed by service.

--- a/goldcresthoist/gossip/__init__.py
+++ b/goldcresthoist/gossip/__init__.py
@@ -1,3 +1,18 @@
 """Membership of daemons by gossip over UDP."""
 
-__all__ = []
+from goldcresthoist.gossip.errors import GossipError
+from goldcresthoist.gossip.member import Member, MemberState
+from goldcresthoist.gossip.membership import Membership
+from goldcresthoist.gossip.messages import Version
+from goldcresthoist.gossip.options import GossipOptions
+from goldcresthoist.gossip.roster import DomainCount
+
+__all__ = [
+    "DomainCount",
+    "GossipError",
+    "GossipOptions",
+    "Member",
+    "MemberState",
+    "Membership",
+    "Version",
+]
--- /dev/null
+++ b/goldcresthoist/gossip/answering.py
@@ -0,0 +1,154 @@
+"""Answers to the messages of other daemons."""
+
+import random
+
+from goldcresthoist.gossip.errors import CorruptDatagram
+from goldcresthoist.gossip.exchange import check_address, new_nonce
+from goldcresthoist.gossip.messages import (
+    Ack,
+    Gossip,
+    IndirectProbe,
+    Join,
+    JoinReply,
+    Probe,
+    SequenceBehind,
+    VersionAnswer,
+    VersionQuery,
+    VersionRumours,
+    VersionSummary,
+)
+
+__all__ = ["Answering"]
+
+MAX_RELAYS = 256
+# Versions that fit a datagram beside the envelope, and members that fit a page.
+VERSIONS_BYTES = 900
+MEMBERS_BYTES = 950
+VERSION_OVERHEAD_BYTES = 12
+
+
+class Answering:
+    """Handler of accepted packets.
+
+    Parameters
+    ----------
+    exchange : Exchange
+    on_versions : callable
+        Called with higher versions and the instance that has them in force.
+    on_packet : callable
+        Called with each packet after it was answered.
+    """
+
+    def __init__(self, exchange, on_versions, on_packet):
+        self.exchange = exchange
+        self.view = exchange.view
+        self.versions = exchange.versions
+        self.options = exchange.options
+        self.on_versions = on_versions
+        self.on_packet = on_packet
+        self.relays = {}
+        self.summary_sent_at = float("-inf")
+
+    def handle(self, packet, address):
+        """Answer one accepted packet."""
+        match packet.message:
+            case Probe(nonce):
+                self._ack(packet, nonce, address)
+            case Ack():
+                self._acknowledged(packet, address)
+            case IndirectProbe(nonce, _, target_address):
+                self._relay(nonce, target_address, address)
+            case Join():
+                self._reply_to_join(packet, address)
+            case JoinReply(nonce) | VersionAnswer(nonce):
+                self.exchange.resolve(nonce, packet.message)
+            case SequenceBehind(highest):
+                self.exchange.sequence = max(self.exchange.sequence, highest)
+            case VersionRumours(versions):
+                self._learn_versions(versions, packet.sender)
+            case VersionSummary(digests):
+                self._reply_to_summary(digests, address)
+            case VersionQuery(nonce, team):
+                version = self.versions.version_of(team)
+                self.exchange.send(VersionAnswer(nonce, version), address)
+            case Gossip():
+                pass
+        self._compare_versions(packet, address)
+        self.on_packet(packet)
+
+    def _ack(self, packet, nonce, address):
+        unknown = self.view.roster.slot_of(packet.sender) is None
+        states = self.view.correction_for(packet)
+        self.exchange.send(Ack(nonce, unknown), address, states)
+
+    def _acknowledged(self, packet, address):
+        ack = packet.message
+        if not self.exchange.resolve(ack.nonce, ack):
+            self._forward(ack)
+        if ack.unknown:
+            own = self.view.encoder.encode(self.view.local())
+            self.exchange.send(Gossip(), address, members=(own,))
+        elif correction := self.view.correction_for(packet):
+            self.exchange.send(Gossip(), address, correction)
+
+    def _relay(self, nonce, target_address, address):
+        try:
+            check_address(target_address)
+        except ValueError as exc:
+            raise CorruptDatagram(f"indirect probe of no address: {exc}") from exc
+        if len(self.relays) >= MAX_RELAYS:
+            del self.relays[next(iter(self.relays))]
+        own_nonce = new_nonce()
+        self.relays[own_nonce] = (nonce, address)
+        self.exchange.send(Probe(own_nonce), target_address)
+
+    def _forward(self, ack):
+        if relay := self.relays.pop(ack.nonce, None):
+            nonce, address = relay
+            self.exchange.send(Ack(nonce), address)
+
+    def _reply_to_join(self, packet, address):
+        join = packet.message
+        roster = self.view.roster
+        cursor = max(0, join.cursor)
+        own = self.view.encoder.encode(self.view.local())
+        members, size = [own], len(own)
+        while cursor < len(roster.live):
+            slot = roster.live[cursor]
+            data = self.view.encoder.encode(roster.member(slot))
+            if size + len(data) > MEMBERS_BYTES:
+                break
+            size += len(data)
+            members.append(data)
+            cursor += 1
+        reply = JoinReply(join.nonce, cursor if cursor < len(roster.live) else -1)
+        correction = self.view.correction_for(packet)
+        self.exchange.send(reply, address, correction, members, updates=False)
+
+    def _learn_versions(self, versions, sender):
+        if newer := self.versions.newer(versions):
+            self.on_versions(newer, sender)
+
+    def _reply_to_summary(self, digests, address):
+        versions = self.versions.differing(digests)
+        random.shuffle(versions)
+        picked, size = [], 0
+        for version in versions:
+            size += len(version.team) + len(version.digest) + VERSION_OVERHEAD_BYTES
+            if size > VERSIONS_BYTES:
+                break
+            picked.append(version)
+        if picked:
+            rumours = VersionRumours(tuple(picked))
+            self.exchange.send(rumours, address, updates=False)
+
+    def _compare_versions(self, packet, address):
+        """Ask for versions that this daemon may have missed."""
+        if packet.version_digest == self.versions.digest:
+            return
+        now = self.view.now()
+        if now < self.summary_sent_at + self.options.summary_interval_s:
+            return
+        self.summary_sent_at = now
+        summary = VersionSummary(self.versions.bucket_digests())
+        self.exchange.send(summary, address, updates=False)
--- /dev/null
+++ b/goldcresthoist/gossip/ceiling.py
@@ -0,0 +1,34 @@
+"""Limit on the bytes sent per second."""
+
+__all__ = ["ByteCeiling"]
+
+
+class ByteCeiling:
+    """Token bucket of bytes.
+
+    Parameters
+    ----------
+    rate : float
+        Bytes per second.
+    burst : float
+        Most bytes that can be saved up.
+    now : float
+        Time on the monotonic clock, in seconds.
+    """
+
+    def __init__(self, rate, burst, now):
+        self.rate = rate
+        self.burst = burst
+        self.tokens = burst
+        self.filled_at = now
+
+    def available(self, now):
+        """Return the bytes that may be sent now; negative after an overdraft."""
+        elapsed = max(0.0, now - self.filled_at)
+        self.tokens = min(self.burst, self.tokens + elapsed * self.rate)
+        self.filled_at = now
+        return self.tokens
+
+    def spend(self, size):
+        """Take bytes out. Probes and acks are charged even when that overdraws."""
+        self.tokens = max(self.tokens - size, -self.burst)
--- /dev/null
+++ b/goldcresthoist/gossip/exchange.py
@@ -0,0 +1,230 @@
+"""Sending, receiving and answering of datagrams."""
+
+import asyncio
+import ipaddress
+import random
+import time
+
+import msgspec
+
+from goldcresthoist.config import split_address
+from goldcresthoist.gossip.ceiling import ByteCeiling
+from goldcresthoist.gossip.envelope import MAC_BYTES, Sealer, check_sequence
+from goldcresthoist.gossip.errors import CorruptDatagram, DatagramRejected, Replayed
+from goldcresthoist.gossip.member import Member
+from goldcresthoist.gossip.messages import (
+    STATE_UPDATE,
+    Packet,
+    SequenceBehind,
+    StateUpdate,
+    key_of,
+)
+from goldcresthoist.gossip.updates import retransmissions
+
+__all__ = ["Exchange", "check_address", "format_address", "new_nonce"]
+
+# IP and UDP headers, charged against the byte ceiling.
+HEADER_BYTES = 28
+# Replay state of senders that are not members yet.
+MAX_STRANGERS = 1024
+BEHIND_INTERVAL_S = 0.2
+
+
+def format_address(address):
+    """Return the ``"ip:port"`` form of a socket address."""
+    host, port = address[:2]
+    return f"[{host}]:{port}" if ":" in host else f"{host}:{port}"
+
+
+def check_address(address):
+    """Raise ValueError when an address is not ``"ip:port"``."""
+    host, port = split_address(address)
+    ipaddress.ip_address(host)
+    if not 0 < port < 65536:
+        raise ValueError(f"{address!r}: expected a port from 1 to 65535")
+
+
+class Exchange(asyncio.DatagramProtocol):
+    """Datagrams between this daemon and its peers.
+
+    Parameters
+    ----------
+    view : View
+    versions : VersionTable
+    shared_key : bytes
+    options : GossipOptions
+    wall_clock : callable
+        Returns seconds since the epoch; only used for the first sequence number.
+    """
+
+    def __init__(self, view, versions, shared_key, options, wall_clock=time.time):
+        self.view = view
+        self.versions = versions
+        self.options = options
+        self.sealer = Sealer(shared_key)
+        self.address = format_address(split_address(view.record.gossip_address))
+        self.sequence = int(wall_clock() * 1e6)
+        self.ceiling = ByteCeiling(options.bytes_per_s, options.burst_bytes, view.now())
+        self.transport = None
+        self.handler = None
+        self.waiting = {}
+        self.strangers = {}
+        self.heard_at = view.now()
+        self.behind_sent_at = float("-inf")
+        self.dropped = 0
+        self.bytes_sent = 0
+        self.bytes_received = 0
+        self.member_decoder = msgspec.msgpack.Decoder(Member)
+
+    def connection_made(self, transport):
+        """Keep the transport of the socket."""
+        self.transport = transport
+
+    def error_received(self, exc):
+        """Ignore an unreachable peer: the missing ack tells the same."""
+
+    def send(self, message, address, states=b"", members=(), updates=True):
+        """Send a message to ``"ip:port"``, with updates in the space left."""
+        if self.transport is None or self.transport.is_closing():
+            return
+        self.sequence += 1
+        packet = self._packet(message, states, members)
+        if updates and len(self.view.queue):
+            packet = self._with_updates(packet, states, members)
+        data = self.sealer.seal(packet, format_address(split_address(address)))
+        self.ceiling.available(self.view.now())
+        self.ceiling.spend(len(data) + HEADER_BYTES)
+        self.bytes_sent += len(data) + HEADER_BYTES
+        self.transport.sendto(data, split_address(address))
+
+    def send_to(self, slot, message, **kwargs):
+        """Send a message to the member in a slot."""
+        self.send(message, self.view.roster.record(slot).gossip_address, **kwargs)
+
+    async def request(self, message, address, timeout, **kwargs):
+        """Send a message with a nonce; return the answer, or None after the timeout."""
+        answer = asyncio.get_running_loop().create_future()
+        self.waiting[message.nonce] = answer
+        try:
+            self.send(message, address, **kwargs)
+            async with asyncio.timeout(timeout):
+                return await answer
+        except TimeoutError:
+            return None
+        finally:
+            del self.waiting[message.nonce]
+
+    def resolve(self, nonce, answer):
+        """Pass an answer to the request that waits for it, if there is one."""
+        future = self.waiting.get(nonce)
+        if future is not None and not future.done():
+            future.set_result(answer)
+        return future is not None
+
+    def datagram_received(self, data, addr):
+        """Check, apply and answer one datagram."""
+        self.bytes_received += len(data) + HEADER_BYTES
+        address = format_address(addr)
+        try:
+            packet = self.sealer.open(data, self.address)
+            self._check_replay(packet, address)
+            self._accept(packet, address)
+        except DatagramRejected:
+            self.dropped += 1
+
+    def _packet(self, message, states=b"", members=()):
+        view = self.view
+        return Packet(
+            view.record.instance,
+            self.sequence,
+            view.incarnation,
+            view.state,
+            view.check,
+            view.population(),
+            view.digest(),
+            self.versions.digest,
+            message,
+            states,
+            tuple(msgspec.Raw(data) for data in members),
+        )
+
+    def _with_updates(self, packet, states, members):
+        used = len(self.sealer.encoder.encode(packet)) + MAC_BYTES + 4
+        limit = retransmissions(self.view.population())
+        taken = self.view.queue.take(self.options.datagram_bytes - used, limit)
+        # State updates have a fixed size that is below that of every record.
+        states += b"".join(data for data in taken if len(data) == STATE_UPDATE.size)
+        full = (data for data in taken if len(data) != STATE_UPDATE.size)
+        return self._packet(packet.message, states, (*members, *full))
+
+    def _check_replay(self, packet, address):
+        if packet.sender == self.view.record.instance:
+            raise Replayed("own datagram came back")
+        slot = self.view.roster.slot_of(packet.sender)
+        try:
+            if slot is None:
+                self._check_stranger(packet)
+            else:
+                self._check_member(slot, packet.sequence)
+        except Replayed as exc:
+            self._report_behind(exc, address)
+            raise
+
+    def _check_member(self, slot, sequence):
+        roster = self.view.roster
+        roster.sequences[slot], roster.windows[slot] = check_sequence(
+            sequence, roster.sequences[slot], roster.windows[slot]
+        )
+
+    def _check_stranger(self, packet):
+        key = key_of(packet.sender)
+        seen = check_sequence(packet.sequence, *self.strangers.pop(key, (0, 0)))
+        if len(self.strangers) >= MAX_STRANGERS:
+            del self.strangers[next(iter(self.strangers))]
+        self.strangers[key] = seen
+
+    def _report_behind(self, exc, address):
+        now = self.view.now()
+        if exc.highest is None or now < self.behind_sent_at + BEHIND_INTERVAL_S:
+            return
+        self.behind_sent_at = now
+        self.send(SequenceBehind(exc.highest), address, updates=False)
+
+    def _accept(self, packet, address):
+        if len(packet.states) % STATE_UPDATE.size:
+            raise CorruptDatagram(f"{len(packet.states)} bytes of state updates")
+        members = self._decode_members(packet)
+        self.heard_at = self.view.now()
+        self._observe_sender(packet)
+        for member in members:
+            self.view.apply_member(member)
+        self.view.apply_states(packet.states)
+        self._adopt_stranger(packet.sender)
+        self.handler(packet, address)
+
+    def _decode_members(self, packet):
+        try:
+            members = [self.member_decoder.decode(raw) for raw in packet.members]
+            for member in members:
+                check_address(member.gossip_address)
+        except (msgspec.DecodeError, ValueError) as exc:
+            raise CorruptDatagram(f"member cannot be used: {exc}") from exc
+        return members
+
+    def _observe_sender(self, packet):
+        """Take the sender's own state, which is the best evidence there is."""
+        key = key_of(packet.sender)
+        update = StateUpdate(key, packet.check, packet.incarnation, packet.state)
+        self.view.apply_state(update)
+
+    def _adopt_stranger(self, sender):
+        key = key_of(sender)
+        slot = self.view.roster.slots.get(key)
+        if slot is not None and key in self.strangers:
+            roster = self.view.roster
+            roster.sequences[slot], roster.windows[slot] = self.strangers.pop(key)
+
+
+def new_nonce():
+    """Return a random number that pairs an answer with its request."""
+    return random.getrandbits(63)
--- /dev/null
+++ b/goldcresthoist/gossip/membership.py
@@ -0,0 +1,255 @@
+"""Membership service of one daemon."""
+
+import asyncio
+import time
+
+from loguru import logger
+
+from goldcresthoist.config import split_address
+from goldcresthoist.gossip.answering import Answering
+from goldcresthoist.gossip.exchange import Exchange, new_nonce
+from goldcresthoist.gossip.joining import join_peers
+from goldcresthoist.gossip.member import Member, MemberState
+from goldcresthoist.gossip.messages import Version, VersionQuery
+from goldcresthoist.gossip.options import GossipOptions
+from goldcresthoist.gossip.probing import (
+    expire_suspicions,
+    forget_members,
+    probe_dead,
+    probe_members,
+)
+from goldcresthoist.gossip.roster import DomainCount
+from goldcresthoist.gossip.spreading import (
+    send_news,
+    spread_updates,
+    spread_version,
+)
+from goldcresthoist.gossip.versions import VersionTable
+from goldcresthoist.gossip.view import View
+
+__all__ = ["Membership"]
+
+# Members told at once that this daemon drains or leaves.
+FAREWELL_PEERS = 8
+RESTART_S = 1.0
+
+
+class Membership:
+    """Keeps track of all daemons by gossip over UDP.
+
+    Must be made inside a running event loop, whose clock is the only one that timing
+    depends on. The wall clock only seeds the incarnation and the sequence number.
+
+    Parameters
+    ----------
+    local : Member
+        The own member. Its incarnation must grow from start to start where possible;
+        peers correct one that did not.
+    shared_key : bytes
+        Key that daemons authenticate each other with.
+    options : GossipOptions
+    wall_clock : callable
+        Returns seconds since the epoch.
+    """
+
+    def __init__(self, local, shared_key, options=None, wall_clock=time.time):
+        self.options = options or GossipOptions()
+        self.view = View(local, asyncio.get_running_loop().time)
+        self.versions = VersionTable()
+        self.exchange = Exchange(
+            self.view, self.versions, shared_key, self.options, wall_clock
+        )
+        self.version_subscribers = []
+        self.packet_subscribers = []
+        answering = Answering(self.exchange, self._on_versions, self._on_packet)
+        self.exchange.handler = answering.handle
+        self.tasks = []
+
+    @classmethod
+    def from_settings(cls, settings, options=None, wall_clock=time.time):
+        """Make the service for a daemon with the given settings."""
+        local = Member(
+            settings.instance,
+            int(wall_clock() * 1000),
+            settings.service,
+            settings.failure_domain,
+            settings.region,
+            settings.gossip_address,
+            settings.link_address,
+            settings.control_address,
+            MemberState.ALIVE,
+        )
+        return cls(local, settings.shared_key_bytes(), options, wall_clock)
+
+    @property
+    def datagrams_dropped(self):
+        """Number of received datagrams that were forged, corrupt or replayed."""
+        return self.exchange.dropped
+
+    async def start(self):
+        """Open the socket and start the tasks."""
+        if self.exchange.transport is None:
+            address = split_address(self.view.record.gossip_address)
+            loop = asyncio.get_running_loop()
+            await loop.create_datagram_endpoint(
+                lambda: self.exchange, local_addr=address
+            )
+        self.resume()
+
+    def resume(self):
+        """Start the tasks that probe, spread and expire."""
+        for activity in (
+            probe_members,
+            probe_dead,
+            expire_suspicions,
+            forget_members,
+            spread_updates,
+        ):
+            self._run(_keep_running(activity, self.exchange))
+
+    def pause(self):
+        """Stop all tasks. Datagrams are still answered."""
+        for task in self.tasks:
+            task.cancel()
+
+    def join(self, addresses=(), hints=()):
+        """Look for first peers, in a task of its own, until one answers.
+
+        Parameters
+        ----------
+        addresses : sequence of str
+            Gossip addresses of daemons.
+        hints : sequence of str
+            Gossip addresses or networks where daemons may be.
+
+        Returns
+        -------
+        asyncio.Task
+            Ends when a peer has answered.
+        """
+        search = join_peers(self.exchange, tuple(addresses), tuple(hints))
+        return self._run(search)
+
+    async def close(self):
+        """Stop the tasks and close the socket, without telling peers."""
+        self.pause()
+        await asyncio.gather(*self.tasks, return_exceptions=True)
+        self.tasks.clear()
+        if self.exchange.transport is not None:
+            self.exchange.transport.close()
+
+    def members_of(self, service):
+        """Return the members of a service that are neither dead nor gone.
+
+        The own member is included. Members in state draining or suspect are included;
+        `Member.accepts_work` tells whether to send them work.
+        """
+        members = self.view.roster.members_of(service)
+        own = self.view.local()
+        if service == own.service and own.state != MemberState.LEFT:
+            members.append(own)
+        return members
+
+    def member(self, instance):
+        """Return the member with the given instance name, or None."""
+        if instance == self.view.record.instance:
+            return self.view.local()
+        slot = self.view.roster.slot_of(instance)
+        return None if slot is None else self.view.roster.member(slot)
+
+    def members(self):
+        """Yield all other members that are neither dead nor gone."""
+        for slot in tuple(self.view.roster.live):
+            yield self.view.roster.member(slot)
+
+    def counts_by_domain(self):
+        """Return a `DomainCount` per failure domain; the own member is included."""
+        counts = self.view.roster.counts_by_domain()
+        own = self.view.record.failure_domain
+        count = counts.get(own, DomainCount(0, 0, 0))
+        counts[own] = DomainCount(count.alive + 1, count.suspect, count.dead)
+        return counts
+
+    def subscribe(self, callback):
+        """Call ``callback(member)`` whenever another member changes.
+
+        Returns
+        -------
+        callable
+            Ends the subscription.
+        """
+        self.view.subscribers.append(callback)
+        return lambda: self.view.subscribers.remove(callback)
+
+    def subscribe_versions(self, callback):
+        """Call ``callback(versions, instance)`` for versions in force elsewhere.
+
+        ``versions`` are higher than the ones announced here; ``instance`` has them in
+        force. Called again for each rumour until the version is announced here.
+        """
+        self.version_subscribers.append(callback)
+        return lambda: self.version_subscribers.remove(callback)
+
+    def set_draining(self):
+        """Tell all members that this daemon takes no new work."""
+        self.view.set_own_state(MemberState.DRAINING)
+        send_news(self.exchange, FAREWELL_PEERS)
+
+    def leave(self):
+        """Tell members that this daemon is about to end. Call `close` afterwards."""
+        self.view.set_own_state(MemberState.LEFT)
+        send_news(self.exchange, FAREWELL_PEERS)
+
+    def announce_version(self, team, version, digest, everywhere=False):
+        """Tell members that a configuration version is in force here.
+
+        Parameters
+        ----------
+        team : str
+        version : int
+            Ignored when it is not higher than the one announced before.
+        digest : bytes
+            Digest of the content.
+        everywhere : bool
+            Tell some members of each failure domain too. Set by the daemon where the
+            change was made.
+        """
+        item = Version(team, version, digest)
+        if self.versions.put(item):
+            spread_version(self.exchange, item, everywhere)
+
+    async def query_version(self, member, team, timeout_s=1.0):
+        """Ask a member which version is in force there.
+
+        Returns
+        -------
+        int or None
+            0 when it has none, None when there was no answer in time.
+        """
+        query = VersionQuery(new_nonce(), team)
+        address = member.gossip_address
+        answer = await self.exchange.request(query, address, timeout_s)
+        return None if answer is None else answer.version
+
+    def _run(self, coroutine):
+        task = asyncio.get_running_loop().create_task(coroutine)
+        self.tasks.append(task)
+        return task
+
+    def _on_versions(self, versions, instance):
+        for callback in tuple(self.version_subscribers):
+            callback(versions, instance)
+
+    def _on_packet(self, packet):
+        for callback in tuple(self.packet_subscribers):
+            callback(packet)
+
+
+async def _keep_running(activity, exchange):
+    """Run an endless activity, and run it again after an unexpected error."""
+    while True:
+        try:
+            await activity(exchange)
+        except Exception:
+            logger.exception("event=gossip_task_failed task={}", activity.__name__)
+            await asyncio.sleep(RESTART_S)
--- /dev/null
+++ b/goldcresthoist/gossip/updates.py
@@ -0,0 +1,99 @@
+"""Queue of membership updates that wait to be sent with other messages."""
+
+from math import ceil, log2
+
+__all__ = ["UpdateQueue", "retransmissions"]
+
+RETRANSMIT_FACTOR = 3
+
+
+def retransmissions(members):
+    """Return how many times one daemon sends each update."""
+    return RETRANSMIT_FACTOR * max(1, ceil(log2(members + 1)))
+
+
+class UpdateQueue:
+    """Updates by subject, those sent least often first.
+
+    Updates about the daemon's own service go before all others. A newer update about
+    a subject replaces the older one.
+    """
+
+    def __init__(self):
+        self.levels = ([], [])
+        self.place = {}
+
+    def __len__(self):
+        return len(self.place)
+
+    def put(self, key, data, own_service):
+        """Add an update.
+
+        Parameters
+        ----------
+        key : int
+            Key of the member it is about.
+        data : bytes
+        own_service : bool
+        """
+        self.discard(key)
+        self._insert(key, data, 0 if own_service else 1, 0)
+
+    def discard(self, key):
+        """Remove the update about a member, if there is one."""
+        if place := self.place.pop(key, None):
+            rank, level = place
+            del self.levels[rank][level][key]
+
+    def data_of(self, key):
+        """Return the update that waits about a member, or None."""
+        if place := self.place.get(key):
+            rank, level = place
+            return self.levels[rank][level][key]
+        return None
+
+    def clear(self):
+        """Remove all updates."""
+        self.__init__()
+
+    def fresh(self, limit):
+        """Return how many updates were sent less often than ``limit`` times."""
+        return sum(len(level) for rank in self.levels for level in rank[:limit])
+
+    def take(self, size, limit):
+        """Take updates for one datagram.
+
+        Parameters
+        ----------
+        size : int
+            Bytes available.
+        limit : int
+            Times that each update is sent in all.
+
+        Returns
+        -------
+        list of bytes
+        """
+        picked = list(self._pick(size))
+        for key, data, rank, level in picked:
+            del self.levels[rank][level][key]
+            del self.place[key]
+            if level + 1 < limit:
+                self._insert(key, data, rank, level + 1)
+        return [data for _, data, _, _ in picked]
+
+    def _pick(self, size):
+        for rank, levels in enumerate(self.levels):
+            for level, updates in enumerate(levels):
+                for key, data in updates.items():
+                    if len(data) > size:
+                        return
+                    size -= len(data)
+                    yield key, data, rank, level
+
+    def _insert(self, key, data, rank, level):
+        levels = self.levels[rank]
+        while len(levels) <= level:
+            levels.append({})
+        levels[level][key] = data
+        self.place[key] = (rank, level)
--- /dev/null
+++ b/goldcresthoist/gossip/versions.py
@@ -0,0 +1,71 @@
+"""Configuration versions in force at this daemon, with digests to compare them."""
+
+import hashlib
+import struct
+import zlib
+
+from goldcresthoist.gossip.messages import Version
+
+__all__ = ["BUCKETS", "VersionTable"]
+
+BUCKETS = 64
+_DIGESTS = struct.Struct(f">{BUCKETS}I")
+
+
+class VersionTable:
+    """Highest version per team. Versions never go down."""
+
+    def __init__(self):
+        self.teams = {}
+        self.buckets = [0] * BUCKETS
+        self.digest = 0
+
+    def put(self, version):
+        """Record a version; return whether it is higher than the one held."""
+        held = self.teams.get(version.team)
+        if held is not None and held.version >= version.version:
+            return False
+        if held is not None:
+            self._mix(held)
+        self.teams[version.team] = version
+        self._mix(version)
+        return True
+
+    def version_of(self, team):
+        """Return the version number held for a team, 0 for none."""
+        held = self.teams.get(team)
+        return held.version if held else 0
+
+    def newer(self, versions):
+        """Return those of ``versions`` that are higher than the ones held."""
+        return [v for v in versions if v.version > self.version_of(v.team)]
+
+    def bucket_digests(self):
+        """Return the digests of all buckets, 4 bytes each."""
+        return _DIGESTS.pack(*self.buckets)
+
+    def differing(self, digests):
+        """Return the versions in the buckets whose digests differ."""
+        if len(digests) != _DIGESTS.size:
+            return list(self.teams.values())
+        theirs = _DIGESTS.unpack(digests)
+        changed = {n for n in range(BUCKETS) if theirs[n] != self.buckets[n]}
+        return [v for v in self.teams.values() if _bucket_of(v.team) in changed]
+
+    def _mix(self, version: Version):
+        value = _hash(version)
+        bucket = _bucket_of(version.team)
+        self.buckets[bucket] ^= value
+        self.digest ^= value
+
+
+def _bucket_of(team):
+    return zlib.crc32(team.encode()) % BUCKETS
+
+
+def _hash(version):
+    # A CRC would not do: it is linear, so that the xor over two teams that swap their
+    # version numbers can be the same.
+    text = f"{version.team}\0{version.version}\0".encode()
+    mac = hashlib.blake2b(text + version.digest, digest_size=4)
+    return int.from_bytes(mac.digest())
