Add control services and the configuration holder

Cause: configuration versions must reach every daemon within 4 s and never revert, and member tables must agree again after missed gossip or a partition. Change: package control (sealed grpclib messages; member sync by buckets of digests; fetch, version list, prepare, count by UDP queries, crash-suspect export; catch-up of a new daemon without the table) and config.ConfigurationHolder. Partition heal revives both sides at the next incarnation, so 20,000 single refutations are not needed. Refutations carry 21 bytes instead of the whole record.

--- a/goldcresthoist/config/__init__.py
+++ b/goldcresthoist/config/__init__.py
@@ -6,6 +6,13 @@
     InvalidAnswer,
     InvalidSetting,
 )
+from goldcresthoist.config.holder import (
+    ConfigurationHolder,
+    InForce,
+    InvalidContent,
+    content_digest,
+    decode_content,
+)
 from goldcresthoist.config.model import (
     AtMostOnce,
     Read,
@@ -21,7 +28,10 @@
     "AtMostOnce",
     "ConfigError",
     "ConfigurationConflict",
+    "ConfigurationHolder",
+    "InForce",
     "InvalidAnswer",
+    "InvalidContent",
     "InvalidSetting",
     "Read",
     "Repeatable",
@@ -30,5 +40,7 @@
     "TeamConfiguration",
     "Upload",
     "WorkRule",
+    "content_digest",
+    "decode_content",
     "split_address",
 ]
--- /dev/null
+++ b/goldcresthoist/config/tests/test_holder.py
@@ -0,0 +1,57 @@
+"""Tests of the configuration in force in one daemon."""
+
+import unittest
+
+import msgspec
+
+from goldcresthoist.config.holder import ConfigurationHolder, content_digest
+from goldcresthoist.config.tests.builders import make_content
+
+
+class ConfigurationHolderTest(unittest.TestCase):
+    """Guards against a configuration that reverts or is not what was accepted."""
+
+    def test_version_only_goes_up(self):
+        holder = ConfigurationHolder()
+        newer, older = make_content("t", slots=9), make_content("t", slots=3)
+        self.assertTrue(holder.offer("t", 2, newer))
+        self.assertFalse(holder.offer("t", 1, older))
+        self.assertFalse(holder.offer("t", 2, older))
+        self.assertEqual(holder.service("t-read").slots, 9)
+        self.assertEqual(holder.version_of("t"), 2)
+
+    def test_content_must_match_digest_and_team(self):
+        holder = ConfigurationHolder()
+        content = make_content("t")
+        wrong = content_digest(content + b" ")
+        self.assertFalse(holder.offer("t", 1, content, wrong))
+        self.assertFalse(holder.offer("u", 1, content))
+        self.assertFalse(holder.offer("t", 1, content[:-3]))
+        self.assertFalse(holder.offer("t", 1, b"\xff\xfe{"))
+        self.assertIsNone(holder.in_force("t"))
+        self.assertTrue(holder.offer("t", 1, content, content_digest(content)))
+
+    def test_json_and_msgpack_are_read_alike(self):
+        holder = ConfigurationHolder()
+        packed = make_content("t")
+        as_json = msgspec.json.encode(msgspec.msgpack.decode(packed))
+        holder.offer("t", 1, packed)
+        service = holder.service("t-read")
+        holder.offer("t", 2, as_json)
+        self.assertEqual(holder.service("t-read"), service)
+
+    def test_removed_service_is_gone(self):
+        holder = ConfigurationHolder()
+        holder.offer("t", 1, make_content("t", services=("a", "b")))
+        self.assertIsNotNone(holder.service("a"))
+        holder.offer("t", 2, make_content("t", services=("b",)))
+        self.assertIsNone(holder.service("a"))
+        self.assertIsNotNone(holder.service("b"))
+
+    def test_two_teams_with_one_service_settle_independently_of_order(self):
+        for order in (("t", "u"), ("u", "t")):
+            holder = ConfigurationHolder()
+            for team in order:
+                slots = 3 if team == "t" else 9
+                holder.offer(team, 1, make_content(team, slots, ("a",)))
+            self.assertEqual(holder.service("a").slots, 3)
--- a/goldcresthoist/control/__init__.py
+++ b/goldcresthoist/control/__init__.py
@@ -1,3 +1,27 @@
 """gRPC control services between daemons."""
 
-__all__ = []
+from goldcresthoist.control.catch_up import CaughtUp, catch_up
+from goldcresthoist.control.client import ControlClient, Peer
+from goldcresthoist.control.errors import BadMessage, ControlError, PeerUnavailable
+from goldcresthoist.control.fetching import ConfigurationFetcher
+from goldcresthoist.control.member_sync import MemberSync, SyncOptions
+from goldcresthoist.control.messages import CrashSuspect
+from goldcresthoist.control.plane import ControlPlane
+from goldcresthoist.control.service import ControlServer, ControlService
+
+__all__ = [
+    "BadMessage",
+    "CaughtUp",
+    "ConfigurationFetcher",
+    "ControlClient",
+    "ControlError",
+    "ControlPlane",
+    "ControlServer",
+    "ControlService",
+    "CrashSuspect",
+    "MemberSync",
+    "Peer",
+    "PeerUnavailable",
+    "SyncOptions",
+    "catch_up",
+]
--- /dev/null
+++ b/goldcresthoist/control/tests/builders.py
@@ -0,0 +1,90 @@
+"""Daemons with gossip and control services on one fake network."""
+
+import asyncio
+from contextlib import asynccontextmanager
+
+from grpclib.testing import ChannelFor
+
+from goldcresthoist.config import ConfigurationHolder
+from goldcresthoist.control import (
+    ConfigurationFetcher,
+    ControlClient,
+    ControlService,
+    MemberSync,
+)
+from goldcresthoist.gossip.tests.builders import SHARED_KEY, Cluster
+
+
+class Node:
+    """The parts of a daemon that exchange control messages."""
+
+    def __init__(self, fleet, membership):
+        self.membership = membership
+        self.address = membership.view.record.control_address
+        self.holder = ConfigurationHolder()
+        self.service = ControlService(membership, self.holder)
+        self.client = ControlClient(
+            SHARED_KEY, lambda address: fleet.channel(self, address)
+        )
+        self.fetcher = ConfigurationFetcher(
+            membership, self.holder, self.client, self.service.candidates
+        )
+        self.sync = MemberSync(membership, self.client)
+        self.tasks = []
+
+    def start(self):
+        """Start the tasks."""
+        for activity in (self.fetcher.run(), self.sync.run()):
+            self.tasks.append(asyncio.get_running_loop().create_task(activity))
+
+
+class Fleet:
+    """Nodes that reach each other over a fake network and in-memory channels."""
+
+    def __init__(self, options=None):
+        self.cluster = Cluster(options)
+        self.nodes = {}
+
+    async def add(self, name, domain="d1", service="s"):
+        """Start a node."""
+        membership = await self.cluster.add(name, domain, service)
+        node = Node(self, membership)
+        node.start()
+        self.nodes[node.address] = node
+        return node
+
+    async def add_many(self, count, domain="d1"):
+        """Start several nodes of a domain and let them meet."""
+        nodes = [await self.add(f"{domain}-{n}", domain) for n in range(count)]
+        await asyncio.sleep(10)
+        return nodes
+
+    def cut(self, one_side, other_side):
+        """Cut two groups of nodes off from each other."""
+        self.cluster.network.cut(
+            [node.membership for node in one_side],
+            [node.membership for node in other_side],
+        )
+
+    @asynccontextmanager
+    async def channel(self, source, address):
+        """Open an in-memory channel, unless the network is cut."""
+        target = self.nodes.get(address)
+        pair = (
+            source.membership.exchange.address,
+            target and target.membership.exchange.address,
+        )
+        if target is None or pair in self.cluster.network.blocked:
+            yield _UnreachableChannel()
+            return
+        codec = source.client.codec
+        async with ChannelFor([target.service], codec=codec) as channel:
+            yield channel
+
+
+class _UnreachableChannel:
+    """Fails like a TCP channel whose peer cannot be reached."""
+
+    def request(self, *args, **kwargs):
+        """Fail to open a stream."""
+        raise OSError("unreachable")
--- /dev/null
+++ b/goldcresthoist/control/tests/test_member_sync.py
@@ -0,0 +1,116 @@
+"""Tests of the comparison of member tables."""
+
+import asyncio
+import unittest
+
+from goldcresthoist.control.tests.builders import Fleet
+from goldcresthoist.gossip import MemberState
+from goldcresthoist.gossip.messages import MemberRecord
+from goldcresthoist.gossip.reconcile import bucket_digests
+from goldcresthoist.gossip.tests.builders import make_member, until, virtual_time
+
+
+def put(node, name, number, state=MemberState.ALIVE, incarnation=1, domain="d9"):
+    """Put a member without a daemon behind it into a node's table."""
+    record = MemberRecord.from_member(make_member(name, number, domain))
+    node.membership.view.roster.put(record, incarnation, state, 0.0)
+
+
+def state_of(node, name):
+    """Return incarnation and state of a member at a node."""
+    member = node.membership.member(name)
+    return member and (member.incarnation, member.state)
+
+
+class SyncTest(unittest.TestCase):
+    """Guards against tables that stay different."""
+
+    async def _pair(self):
+        fleet = Fleet()
+        nodes = await fleet.add_many(2)
+        for node in nodes:
+            await node.membership.close()
+            node.membership.exchange.transport = None
+            for task in node.tasks:
+                task.cancel()
+        return nodes
+
+    async def _sync(self, nodes):
+        await nodes[0].sync.sync_with(nodes[1].membership.view.local())
+
+    @virtual_time
+    async def test_both_sides_learn_what_the_other_one_knows(self):
+        nodes = await self._pair()
+        for number in range(300):
+            put(nodes[number % 2], f"m{number}", 100 + number)
+        await self._sync(nodes)
+        tables = [bucket_digests(node.membership.view) for node in nodes]
+        self.assertEqual(tables[0], tables[1])
+        self.assertEqual(len(nodes[0].membership.members_in("d9")), 300)
+
+    @virtual_time
+    async def test_higher_state_and_incarnation_win_on_both_sides(self):
+        nodes = await self._pair()
+        pairs = {
+            "death": ((1, MemberState.ALIVE), (1, MemberState.DEAD)),
+            "return": ((2, MemberState.ALIVE), (1, MemberState.DEAD)),
+            "drain": ((1, MemberState.DRAINING), (1, MemberState.ALIVE)),
+        }
+        for number, (name, states) in enumerate(pairs.items()):
+            for node, (incarnation, state) in zip(nodes, states, strict=True):
+                put(node, name, 50 + number, state, incarnation)
+        await self._sync(nodes)
+        for name, states in pairs.items():
+            self.assertEqual({state_of(n, name) for n in nodes}, {max(states)})
+
+    @virtual_time
+    async def test_changed_record_replaces_the_older_one(self):
+        nodes = await self._pair()
+        for node, number, incarnation in ((nodes[0], 60, 1), (nodes[1], 70, 2)):
+            put(node, "moved", number, incarnation=incarnation)
+        await self._sync(nodes)
+        addresses = {n.membership.member("moved").gossip_address for n in nodes}
+        self.assertEqual(addresses, {"10.0.0.71:7001"})
+
+    @virtual_time
+    async def test_false_death_of_the_own_member_is_refuted(self):
+        nodes = await self._pair()
+        name = nodes[0].membership.view.record.instance
+        slot = nodes[1].membership.view.roster.slot_of(name)
+        nodes[1].membership.view.roster.set_state(slot, 1, MemberState.DEAD, 0.0)
+        await self._sync(nodes)
+        self.assertEqual(state_of(nodes[0], name), (2, MemberState.ALIVE))
+
+    @virtual_time
+    async def test_busy_peer_refuses(self):
+        nodes = await self._pair()
+        await asyncio.sleep(20)
+        self.assertTrue(nodes[1].service.reserve_sync("another"))
+        member = nodes[1].membership.view.local()
+        self.assertFalse(await nodes[0].sync.sync_with(member))
+        await asyncio.sleep(20)
+        self.assertTrue(await nodes[0].sync.sync_with(member))
+
+
+class PartitionTest(unittest.TestCase):
+    """Guards against a region that returns with a storm, or stays lost."""
+
+    @virtual_time
+    async def test_both_sides_are_revived_without_a_storm(self):
+        fleet = Fleet()
+        near = await fleet.add_many(6, "r1-a")
+        far = await fleet.add_many(6, "r2-a")
+        await until(fleet.cluster.all_alive, 30)
+        fleet.cut(near, far)
+        await until(lambda: _dead(near, "r2-a") == {6}, 200)
+        await until(lambda: _dead(far, "r1-a") == {6}, 200)
+        await asyncio.sleep(300)
+        fleet.cluster.network.heal()
+        before = fleet.cluster.network.bytes
+        took = await until(fleet.cluster.all_alive, 30)
+        spent = (fleet.cluster.network.bytes - before) / 12 / took
+        self.assertLess(spent, 6000)
+
+
+def _dead(nodes, domain):
+    return {node.membership.counts_by_domain()[domain].dead for node in nodes}
--- a/goldcresthoist/gossip/answering.py
+++ b/goldcresthoist/gossip/answering.py
@@ -64,8 +64,8 @@
                 self.exchange.resolve(nonce, packet.message)
             case SequenceBehind(highest):
                 self.exchange.sequence = max(self.exchange.sequence, highest)
-            case VersionRumours(versions):
-                self._learn_versions(versions, packet.sender)
+            case VersionRumours(versions, more):
+                self._learn_versions(versions, more, packet.sender)
             case VersionSummary(digests):
                 self._reply_to_summary(digests, address)
             case VersionQuery(nonce, team):
@@ -125,9 +125,9 @@
         correction = self.view.correction_for(packet)
         self.exchange.send(reply, address, correction, members, updates=False)
 
-    def _learn_versions(self, versions, sender):
+    def _learn_versions(self, versions, more, sender):
         if newer := self.versions.newer(versions):
-            self.on_versions(newer, sender)
+            self.on_versions(newer, sender, more)
 
     def _reply_to_summary(self, digests, address):
         versions = self.versions.differing(digests)
@@ -139,7 +139,7 @@
                 break
             picked.append(version)
         if picked:
-            rumours = VersionRumours(tuple(picked))
+            rumours = VersionRumours(tuple(picked), len(picked) < len(versions))
             self.exchange.send(rumours, address, updates=False)
 
     def _compare_versions(self, packet, address):
--- a/goldcresthoist/gossip/membership.py
+++ b/goldcresthoist/gossip/membership.py
@@ -1,11 +1,11 @@
 """Membership service of one daemon."""
 
 import asyncio
+import random
 import time
 
-from loguru import logger
-
 from goldcresthoist.config import split_address
+from goldcresthoist.gossip._supervision import keep_running
 from goldcresthoist.gossip.answering import Answering
 from goldcresthoist.gossip.exchange import Exchange, new_nonce
 from goldcresthoist.gossip.joining import join_peers
@@ -31,7 +31,6 @@
 
 # Members told at once that this daemon drains or leaves.
 FAREWELL_PEERS = 8
-RESTART_S = 1.0
 
 
 class Membership:
@@ -105,7 +104,7 @@
             forget_members,
             spread_updates,
         ):
-            self._run(_keep_running(activity, self.exchange))
+            self._run(keep_running(activity, self.exchange))
 
     def pause(self):
         """Stop all tasks. Datagrams are still answered."""
@@ -157,10 +156,21 @@
         slot = self.view.roster.slot_of(instance)
         return None if slot is None else self.view.roster.member(slot)
 
-    def members(self):
-        """Yield all other members that are neither dead nor gone."""
-        for slot in tuple(self.view.roster.live):
-            yield self.view.roster.member(slot)
+    def members_in(self, failure_domain, count=None):
+        """Return other members of a domain that are neither dead nor gone.
+
+        With ``count``, as many of them chosen at random.
+        """
+        roster = self.view.roster
+        slots = roster.live_in(failure_domain)
+        if count is not None and count < len(slots):
+            slots = random.sample(slots, count)
+        return [roster.member(slot) for slot in slots]
+
+    def random_members(self, count):
+        """Return up to ``count`` other live members, chosen at random."""
+        roster = self.view.roster
+        return [roster.member(slot) for slot in roster.random_live(count)]
 
     def counts_by_domain(self):
         """Return a `DomainCount` per failure domain; the own member is included."""
@@ -182,10 +192,11 @@
         return lambda: self.view.subscribers.remove(callback)
 
     def subscribe_versions(self, callback):
-        """Call ``callback(versions, instance)`` for versions in force elsewhere.
+        """Call ``callback(versions, instance, more)`` for versions in force elsewhere.
 
         ``versions`` are higher than the ones announced here; ``instance`` has them in
-        force. Called again for each rumour until the version is announced here.
+        force, and others too if ``more`` is true. Called again for each rumour until
+        the version is announced here.
         """
         self.version_subscribers.append(callback)
         return lambda: self.version_subscribers.remove(callback)
@@ -236,20 +247,10 @@
         self.tasks.append(task)
         return task
 
-    def _on_versions(self, versions, instance):
+    def _on_versions(self, versions, instance, more):
         for callback in tuple(self.version_subscribers):
-            callback(versions, instance)
+            callback(versions, instance, more)
 
     def _on_packet(self, packet):
         for callback in tuple(self.packet_subscribers):
             callback(packet)
-
-
-async def _keep_running(activity, exchange):
-    """Run an endless activity, and run it again after an unexpected error."""
-    while True:
-        try:
-            await activity(exchange)
-        except Exception:
-            logger.exception("event=gossip_task_failed task={}", activity.__name__)
-            await asyncio.sleep(RESTART_S)
--- a/goldcresthoist/gossip/messages.py
+++ b/goldcresthoist/gossip/messages.py
@@ -144,9 +144,13 @@
 
 
 class VersionRumours(msgspec.Struct, frozen=True, array_like=True, tag=8):
-    """Configuration versions in force at the sender."""
+    """Configuration versions in force at the sender.
+
+    ``more`` says that the datagram had no room for all that differ.
+    """
 
     versions: tuple[Version, ...]
+    more: bool = False
 
 
 class VersionSummary(msgspec.Struct, frozen=True, array_like=True, tag=9):
--- a/goldcresthoist/gossip/options.py
+++ b/goldcresthoist/gossip/options.py
@@ -23,8 +23,8 @@
     isolated_after_s: float = 3.0
     spread_interval_s: float = 0.2
     burst_interval_s: float = 0.1
-    bytes_per_s: float = 10_000.0
-    burst_bytes: float = 20_000.0
+    bytes_per_s: float = 6_000.0
+    burst_bytes: float = 12_000.0
     datagram_bytes: int = 1200
     rumour_peers: int = 4
     summary_interval_s: float = 0.5
--- /dev/null
+++ b/goldcresthoist/gossip/reconcile.py
@@ -0,0 +1,206 @@
+"""Comparison of two daemons' views bucket by bucket.
+
+When a partition heals, each side holds the other one as dead. Left to refutation,
+every member would have to announce itself to every other one. Instead, a pair of
+daemons that meets across the former partition revives both sides at once: where one
+holds a member as live and the other one holds it as dead *because its whole domain
+was lost*, both move to the next incarnation. Any two daemons get the same result, so
+other daemons can take it over by ordinary comparison.
+"""
+
+import struct
+from dataclasses import dataclass, field
+
+from goldcresthoist.gossip.member import Member, MemberState
+from goldcresthoist.gossip.messages import STATE_UPDATE, StateUpdate
+from goldcresthoist.gossip.roster import SYNC_BUCKETS, row_digest
+from goldcresthoist.gossip.view import overrides
+
+__all__ = [
+    "Difference",
+    "apply_difference",
+    "bucket_digests",
+    "differing_buckets",
+    "entries_of",
+    "merge_entries",
+]
+
+# Set on the state of a member that is dead because its domain was lost.
+LOST_FLAG = 0x80
+_DIGESTS = struct.Struct(f">{SYNC_BUCKETS}Q")
+_STATES = frozenset(range(MemberState.LEFT + 1))
+
+
+@dataclass(slots=True)
+class Difference:
+    """What one side has to send the other one after a comparison.
+
+    ``states`` are for members whose record the other side holds, ``members`` for the
+    rest, ``wanted`` are keys of members whose record this side lacks.
+    """
+
+    states: list[StateUpdate] = field(default_factory=list)
+    members: list[Member] = field(default_factory=list)
+    wanted: list[int] = field(default_factory=list)
+
+
+def bucket_digests(view):
+    """Return the digests of all buckets, 8 bytes each, own member included."""
+    digests = list(view.roster.buckets)
+    own = row_digest(view.key, view.check, view.state)
+    digests[view.key % SYNC_BUCKETS] ^= own
+    return _DIGESTS.pack(*digests)
+
+
+def differing_buckets(view, digests):
+    """Return the numbers of the buckets that differ from a peer's digests."""
+    if len(digests) != _DIGESTS.size:
+        return list(range(SYNC_BUCKETS))
+    mine = _DIGESTS.unpack(bucket_digests(view))
+    theirs = _DIGESTS.unpack(digests)
+    return [n for n in range(SYNC_BUCKETS) if mine[n] != theirs[n]]
+
+
+def entries_of(view, buckets, peer_domain):
+    """Return the packed states of all members in some buckets, for a peer."""
+    crossed = peer_domain in view.lost_domains
+    packed = [
+        _flagged(view, slot, crossed).pack()
+        for bucket in buckets
+        for slot in view.roster.bucket_slots[bucket]
+    ]
+    if view.key % SYNC_BUCKETS in buckets:
+        packed.append(view.own_update().pack())
+    return b"".join(packed)
+
+
+def merge_entries(view, buckets, entries, peer_domain):
+    """Apply a peer's entries and return what the peer lacks.
+
+    Parameters
+    ----------
+    view : View
+    buckets : collection of int
+        The buckets whose entries are all given.
+    entries : bytes
+        Result of `entries_of` at the peer.
+    peer_domain : str
+    """
+    difference = Difference()
+    crossed = peer_domain in view.lost_domains
+    seen = set()
+    for fields in STATE_UPDATE.iter_unpack(entries):
+        update = StateUpdate(*fields)
+        if update.state & ~LOST_FLAG in _STATES:
+            seen.add(update.key)
+            _merge(view, update, crossed, difference)
+    _add_unseen(view, buckets, seen, difference)
+    return difference
+
+
+def apply_difference(view, difference):
+    """Apply what a peer found different; return the members that it lacks."""
+    for member in difference.members:
+        view.apply_member(member, spread=False)
+    for update in difference.states:
+        _adopt(view, update)
+    return [_member_of(view, key) for key in difference.wanted if _holds(view, key)]
+
+
+def _merge(view, update, crossed, difference):
+    lost = bool(update.state & LOST_FLAG)
+    update = update._replace(state=update.state & ~LOST_FLAG)
+    if not _holds(view, update.key):
+        if update.state <= MemberState.SUSPECT:
+            difference.wanted.append(update.key)
+        return
+    mine = _update_of(view, update.key)
+    mine_lost = crossed and _is_lost(view, mine)
+    if update.check != mine.check:
+        _merge_records(view, update, mine, difference)
+    elif revived := _revive(mine, update, mine_lost, lost):
+        _adopt(view, revived)
+    elif overrides(*update[2:], *mine[2:]):
+        view.apply_state(update, spread=False)
+    held = _update_of(view, update.key)
+    if held.check == update.check and overrides(*held[2:], *update[2:]):
+        difference.states.append(held)
+
+
+def _merge_records(view, update, mine, difference):
+    if overrides(*update[2:], *mine[2:]) and update.state <= MemberState.SUSPECT:
+        difference.wanted.append(update.key)
+    elif overrides(*mine[2:], *update[2:]):
+        difference.members.append(_member_of(view, update.key))
+
+
+def _revive(mine, theirs, mine_lost, theirs_lost):
+    """Return the state after a lost member was found live, or None."""
+    if theirs_lost and mine.state <= MemberState.SUSPECT:
+        live, dead = mine, theirs
+    elif mine_lost and theirs.state <= MemberState.SUSPECT:
+        live, dead = theirs, mine
+    else:
+        return None
+    if live.incarnation > dead.incarnation:
+        return None
+    draining = live.state == MemberState.DRAINING
+    state = MemberState.DRAINING if draining else MemberState.ALIVE
+    return live._replace(incarnation=dead.incarnation + 1, state=state)
+
+
+def _is_lost(view, update):
+    slot = view.roster.slots.get(update.key)
+    if slot is None or update.state != MemberState.DEAD:
+        return False
+    return view.roster.domain_of(slot) in view.lost_domains
+
+
+def _flagged(view, slot, crossed):
+    update = view.roster.update_of(slot)
+    if crossed and _is_lost(view, update):
+        return update._replace(state=update.state | LOST_FLAG)
+    return update
+
+
+def _add_unseen(view, buckets, seen, difference):
+    roster = view.roster
+    for bucket in buckets:
+        for slot in roster.bucket_slots[bucket]:
+            live = roster.states[slot] <= MemberState.SUSPECT
+            if live and roster.keys[slot] not in seen:
+                difference.members.append(roster.member(slot))
+    if view.key % SYNC_BUCKETS in buckets and view.key not in seen:
+        difference.members.append(view.local())
+
+
+def _holds(view, key):
+    return key == view.key or key in view.roster.slots
+
+
+def _update_of(view, key):
+    if key == view.key:
+        return view.own_update()
+    return view.roster.update_of(view.roster.slots[key])
+
+
+def _member_of(view, key):
+    if key == view.key:
+        return view.local()
+    return view.roster.member(view.roster.slots[key])
+
+
+def _adopt(view, update):
+    if update.key == view.key:
+        _adopt_own(view, update)
+    else:
+        view.apply_state(update, spread=False)
+
+
+def _adopt_own(view, update):
+    """Take a raised incarnation for the own member without announcing it."""
+    unchanged = update.state in (MemberState.ALIVE, view.state)
+    if update.check == view.check and unchanged:
+        view.incarnation = max(view.incarnation, update.incarnation)
+    else:
+        view.apply_state(update)
--- a/goldcresthoist/gossip/roster.py
+++ b/goldcresthoist/gossip/roster.py
@@ -61,6 +61,7 @@
         self.free = []
         self.digest = 0
         self.buckets = array("Q", bytes(8 * SYNC_BUCKETS))
+        self.bucket_slots = [array("I") for _ in range(SYNC_BUCKETS)]
         self.cache = {}
         self.decoder = msgspec.msgpack.Decoder(MemberRecord)
 
@@ -113,6 +114,13 @@
         """Return up to ``count`` different live slots, chosen at random."""
         return _sample(self.live, count, exclude)
 
+    def live_in(self, domain):
+        """Return the live slots of a failure domain."""
+        if domain not in self.domain_names:
+            return []
+        number = self.domain_names.index(domain)
+        return [slot for slot in self.live if self.domains[slot] == number]
+
     def random_dead(self):
         """Return a random dead slot, or None."""
         return random.choice(self.dead) if self.dead else None
@@ -144,7 +152,9 @@
     def remove(self, slot):
         """Forget a member."""
         self._remove_from_indexes(slot)
-        del self.slots[self.keys[slot]]
+        key = self.keys[slot]
+        del self.slots[key]
+        self.bucket_slots[key % SYNC_BUCKETS].remove(slot)
         self.records[slot] = None
         self.sequences[slot] = self.windows[slot] = 0
         self.free.append(slot)
@@ -154,16 +164,12 @@
         kept = (*self.dead, *self.gone)
         return [slot for slot in kept if self.since[slot] < before]
 
-    def bucket_slots(self, number):
-        """Return the slots in each of the given buckets, one pass over the table."""
-        wanted = set(number)
-        return [s for k, s in self.slots.items() if k % SYNC_BUCKETS in wanted]
-
     def _add(self, record, data, check, incarnation, state, now):
         slot = self.free.pop() if self.free else self._grow()
         key = key_of(record.instance)
         self.slots[key] = slot
         self.keys[slot] = key
+        self.bucket_slots[key % SYNC_BUCKETS].append(slot)
         self.records[slot] = data
         self.checks[slot] = check
         self.domains[slot] = self._domain_number(record.failure_domain)
--- a/goldcresthoist/gossip/tests/builders.py
+++ b/goldcresthoist/gossip/tests/builders.py
@@ -67,7 +67,8 @@
     tasks = asyncio.all_tasks(loop)
     for task in tasks:
         task.cancel()
-    loop.run_until_complete(asyncio.gather(*tasks, return_exceptions=True))
+    if tasks:
+        loop.run_until_complete(asyncio.gather(*tasks, return_exceptions=True))
 
 
 def make_member(name="a", number=1, domain="d1", service="s", incarnation=1):
--- a/goldcresthoist/gossip/view.py
+++ b/goldcresthoist/gossip/view.py
@@ -60,6 +60,10 @@
         """Return the own member."""
         return self.record.with_state(self.incarnation, self.state)
 
+    def own_update(self):
+        """Return the own state in the form that is sent."""
+        return StateUpdate(self.key, self.check, self.incarnation, self.state)
+
     def population(self):
         """Return the number of live members, this daemon included."""
         return len(self.roster.live) + 1
@@ -75,12 +79,15 @@
     def set_own_state(self, state):
         """Change the own state and pass it on."""
         self.state = state
-        self._announce_self()
+        self._announce_self(full=False)
+
+    def raise_incarnation(self, above, full=False):
+        """Take an incarnation higher than ``above`` and pass it on.
 
-    def raise_incarnation(self, above):
-        """Take an incarnation higher than ``above`` and pass it on."""
+        ``full`` sends the record too, for peers that may hold an older one.
+        """
         self.incarnation = max(self.incarnation, above) + 1
-        self._announce_self()
+        self._announce_self(full)
 
     def apply_member(self, member, spread=True):
         """Apply a full record; return whether it changed the view."""
@@ -88,6 +95,8 @@
         data, check = record.encode()
         key = key_of(member.instance)
         update = StateUpdate(key, check, member.incarnation, member.state)
+        if update.state > MemberState.LEFT:
+            return False
         if key == self.key:
             return self._apply_to_self(update)
         slot = self.roster.slots.get(key)
@@ -97,6 +106,8 @@
 
     def apply_state(self, update, spread=True):
         """Apply the state of a member whose record is held already."""
+        if update.state > MemberState.LEFT:
+            return False
         if update.key == self.key:
             return self._apply_to_self(update)
         slot = self.roster.slots.get(update.key)
@@ -154,7 +165,7 @@
         mine = self.incarnation, self.state
         if same or not overrides(update.incarnation, update.state, *mine):
             return False
-        self.raise_incarnation(update.incarnation)
+        self.raise_incarnation(update.incarnation, update.check != self.check)
         return True
 
     def _apply_record(self, record, update, slot, spread):
@@ -176,16 +187,20 @@
 
     def _changed(self, slot, before, spread, full):
         state = self.roster.states[slot]
+        returns = before == MemberState.DEAD and state <= MemberState.DRAINING
+        # The members of a domain that returns are passed on by sync, because as many
+        # single updates would fill the queue of every daemon.
+        lost = self.roster.domain_of(slot) in self.lost_domains
+        if spread and not (returns and lost):
+            self._enqueue(slot, full)
         self._track_suspicion(slot, state)
         self._track_domain(slot)
-        if spread:
-            self._enqueue(slot, full)
         if self.subscribers:
             member = self.roster.member(slot)
             for callback in tuple(self.subscribers):
                 callback(member)
-        if before == MemberState.DEAD and state <= MemberState.DRAINING:
-            for callback in self.on_return:
+        if returns:
+            for callback in tuple(self.on_return):
                 callback(slot)
 
     def _track_suspicion(self, slot, state):
@@ -206,13 +221,21 @@
 
     def _enqueue(self, slot, full):
         key = self.roster.keys[slot]
-        waiting = self.queue.data_of(key)
-        record = self.roster.record(slot)
-        if full or (waiting is not None and len(waiting) > STATE_UPDATE.size):
+        if full or self._record_waits(key):
             data = self.encoder.encode(self.roster.member(slot))
         else:
             data = self.roster.update_of(slot).pack()
-        self.queue.put(key, data, record.service == self.record.service)
+        own_service = self.roster.record(slot).service == self.record.service
+        self.queue.put(key, data, own_service)
 
-    def _announce_self(self):
-        self.queue.put(self.key, self.encoder.encode(self.local()), True)
+    def _announce_self(self, full):
+        if full or self._record_waits(self.key):
+            data = self.encoder.encode(self.local())
+        else:
+            data = self.own_update().pack()
+        self.queue.put(self.key, data, True)
+
+    def _record_waits(self, key):
+        """Return whether a full record waits, which a short update must not replace."""
+        waiting = self.queue.data_of(key)
+        return waiting is not None and len(waiting) > STATE_UPDATE.size
