--- a/goldcresthoist/config/__init__.py
+++ b/goldcresthoist/config/__init__.py
@@ -7,6 +7,13 @@
     InvalidSetting,
 )
 from goldcresthoist.config.generation import generate
+from goldcresthoist.config.holder import (
+    ConfigurationHolder,
+    InForce,
+    InvalidContent,
+    content_digest,
+    decode_content,
+)
 from goldcresthoist.config.model import (
     AtMostOnce,
     Read,
@@ -23,7 +30,10 @@
     "AtMostOnce",
     "ConfigError",
     "ConfigurationConflict",
+    "ConfigurationHolder",
+    "InForce",
     "InvalidAnswer",
+    "InvalidContent",
     "InvalidSetting",
     "Questionnaire",
     "Read",
@@ -34,5 +44,7 @@
     "Upload",
     "WorkRule",
     "generate",
+    "content_digest",
+    "decode_content",
     "split_address",
 ]
