Add the store of configuration versions

Cause: operators change configurations at the same time, and the table loses answers; an accepted version must never revert. `table.write_until_known` repeats a conditional write and reads back its nonce after a lost answer; the history item decides, so later versions do not hide it. Conclusion: an outcome is reported as not known only if the table stopped answering after it was sent the transaction.

--- /dev/null
+++ b/goldcresthoist/config/versions.py
@@ -0,0 +1,112 @@
+"""Versions of a team's configuration and their items in the table."""
+
+from dataclasses import dataclass
+
+from goldcresthoist.table import Absent, Equals, Key, Put
+
+__all__ = [
+    "Accepted",
+    "ConfigurationVersion",
+    "NotAccepted",
+    "OutcomeNotKnown",
+    "current_key",
+    "history_key",
+    "history_partition",
+    "owner_key",
+    "version_from_item",
+    "version_puts",
+]
+
+# All current versions share a partition, so that one query reads them.
+CURRENT_PARTITION = "configuration"
+
+
+@dataclass(frozen=True, slots=True)
+class ConfigurationVersion:
+    """One accepted version.
+
+    `digest` is the SHA-256 of the content in hex, `time_s` is in Unix seconds by the
+    clock of the daemon that wrote it.
+    """
+
+    team: str
+    version: int
+    digest: str
+    author: str
+    time_s: int
+    nonce: str
+
+
+@dataclass(frozen=True, slots=True)
+class Accepted:
+    """The version is current; it cannot be lost or replaced by an older one."""
+
+    version: ConfigurationVersion
+
+
+@dataclass(frozen=True, slots=True)
+class NotAccepted:
+    """The version was not accepted and will not be."""
+
+    reason: str
+
+
+@dataclass(frozen=True, slots=True)
+class OutcomeNotKnown:
+    """The table stopped answering; the version may be or become current.
+
+    `ConfigurationStore.outcome` tells more once the table is back.
+    """
+
+    candidate: ConfigurationVersion
+    reason: str
+
+
+def current_key(team):
+    """Return the key of the item that holds the current version of a team."""
+    return Key(CURRENT_PARTITION, team)
+
+
+def history_partition(team):
+    """Return the partition of a team's history items."""
+    return f"configuration-history#{team}"
+
+
+def history_key(team, version):
+    """Return the key of one history item; keys sort by version."""
+    return Key(history_partition(team), f"{version:012}")
+
+
+def owner_key(service):
+    """Return the key of the item that names the team of a service."""
+    return Key("service-owner", service)
+
+
+def version_from_item(item):
+    """Return the version that a current item or history item holds."""
+    return ConfigurationVersion(
+        team=item["team"],
+        version=item["version"],
+        digest=item["digest"],
+        author=item["author"],
+        time_s=item["time_s"],
+        nonce=item["nonce"],
+    )
+
+
+def version_puts(candidate):
+    """Return the writes that make a candidate current, one after the last."""
+    item = {
+        "team": candidate.team,
+        "version": candidate.version,
+        "digest": candidate.digest,
+        "author": candidate.author,
+        "time_s": candidate.time_s,
+        "nonce": candidate.nonce,
+    }
+    expected = candidate.version - 1
+    condition = Equals("version", expected) if expected else Absent()
+    return [
+        Put(current_key(candidate.team), item, condition),
+        Put(history_key(candidate.team, candidate.version), item, Absent()),
+    ]
--- a/goldcresthoist/table/__init__.py
+++ b/goldcresthoist/table/__init__.py
@@ -1,6 +1,15 @@
 """Client of the platform's table service."""
 
 from goldcresthoist.table.client import TableClient
+from goldcresthoist.table.decided import (
+    Applied,
+    NotSent,
+    Refused,
+    Seen,
+    Undecided,
+    Written,
+    write_until_known,
+)
 from goldcresthoist.table.errors import (
     ConditionFailed,
     OutcomeUnknown,
@@ -12,13 +21,20 @@
 __all__ = [
     "Absent",
     "Always",
+    "Applied",
     "Condition",
     "ConditionFailed",
     "Equals",
     "Key",
+    "NotSent",
     "OutcomeUnknown",
     "Put",
+    "Refused",
+    "Seen",
     "TableClient",
     "TableError",
     "TableUnavailable",
+    "Undecided",
+    "Written",
+    "write_until_known",
 ]
