--- a/goldcresthoist/cli/__init__.py
+++ b/goldcresthoist/cli/__init__.py
@@ -1,3 +1,5 @@
 """Command line of goldcresthoist."""
 
-__all__ = []
+from goldcresthoist.cli._main import main
+
+__all__ = ["main"]
--- /dev/null
+++ b/goldcresthoist/cli/_configuration.py
@@ -0,0 +1,160 @@
+"""Commands for the configuration of a team."""
+
+import getpass
+import os
+from pathlib import Path
+from urllib.parse import urlencode
+
+import msgspec
+import yaml
+
+from goldcresthoist.cli._client import (
+    SETTINGS_VARIABLE,
+    OperatorClient,
+    RemoteFailure,
+)
+from goldcresthoist.cli.errors import CommandFailed
+from goldcresthoist.config import InvalidAnswer, Questionnaire, generate
+from goldcresthoist.config._checking import load_yaml
+from goldcresthoist.operators import (
+    ApplyReport,
+    ConfigurationRecord,
+    Conflict,
+    HistoryEntry,
+)
+
+
+class Preview(msgspec.Struct, frozen=True):
+    """Answer of a daemon to a check."""
+
+    team: str
+    version: int
+    differences: tuple[str, ...]
+
+
+class History(msgspec.Struct, frozen=True):
+    """Answer of a daemon to a question for the history."""
+
+    team: str
+    entries: tuple[HistoryEntry, ...]
+
+
+def check(file, settings, address):
+    """Check a questionnaire here and, when a daemon is named, against the fleet."""
+    document = _load(file)
+    content = generate(Questionnaire.from_document(document, file))
+    work = sum(len(service.work) for service in content.services)
+    print(
+        f"{file}: valid: team {content.team}, {len(content.services)} services, "
+        f"{work} kinds of work"
+    )
+    if settings or address or os.environ.get(SETTINGS_VARIABLE):
+        client = OperatorClient.from_flags(settings, address)
+        _print_preview(_preview(client, document, file))
+    return 0
+
+
+def apply(file, settings, address, author):
+    """Apply a questionnaire and report where it is in force."""
+    document = _load(file)
+    Questionnaire.from_document(document, file)
+    client = OperatorClient.from_flags(settings, address)
+    preview = _preview(client, document, file)
+    _print_preview(preview)
+    if preview.version and not preview.differences:
+        return 0
+    request = {
+        "questionnaire": document,
+        "source": file,
+        "expected_version": preview.version,
+        "author": author or author_name(),
+    }
+    try:
+        report = client.change("/configuration/apply", request, ApplyReport)
+    except RemoteFailure as exc:
+        raise _explained(exc, preview) from exc
+    _print_report(report)
+    return 0
+
+
+def show(team, settings, address):
+    """Print the current configuration as YAML."""
+    client = OperatorClient.from_flags(settings, address)
+    target = f"/configuration?{urlencode({'team': team})}"
+    record = client.get_json(target, ConfigurationRecord)
+    print(f"# version {record.version} by {record.author} at {record.time}")
+    print(f"# digest {record.digest}")
+    content = msgspec.to_builtins(record.content)
+    print(yaml.safe_dump(content, sort_keys=False), end="")
+    return 0
+
+
+def history(team, settings, address):
+    """Print one line for each version."""
+    client = OperatorClient.from_flags(settings, address)
+    target = f"/configuration/history?{urlencode({'team': team})}"
+    for entry in client.get_json(target, History).entries:
+        print(
+            f"version {entry.version}  {entry.time}  {entry.author}  "
+            f"{entry.digest[:12]}"
+        )
+    return 0
+
+
+def author_name():
+    """Return the name of the user who runs the command."""
+    try:
+        return getpass.getuser()
+    except (KeyError, OSError):
+        return f"uid {os.getuid()}"
+
+
+def _load(file):
+    try:
+        text = Path(file).read_text()
+    except OSError as exc:
+        raise InvalidAnswer(f"{file}: cannot be read: {exc.strerror}") from exc
+    except UnicodeDecodeError as exc:
+        raise InvalidAnswer(f"{file}: not UTF-8 text") from exc
+    return load_yaml(text, file, InvalidAnswer)
+
+
+def _preview(client, document, file):
+    request = {"questionnaire": document, "source": file}
+    return client.post("/configuration/check", request, Preview)
+
+
+def _print_preview(preview):
+    if not preview.version:
+        print(f"team {preview.team} has no configuration yet")
+    elif preview.differences:
+        print(f"changes to version {preview.version} of team {preview.team}:")
+    else:
+        print(f"no changes to version {preview.version} of team {preview.team}")
+    for line in preview.differences:
+        print(f"  {line}")
+
+
+def _print_report(report):
+    print(f"accepted as version {report.version} of team {report.team}")
+    for count in report.counts:
+        print(
+            f"  failure domain {count.failure_domain}: in force in "
+            f"{count.in_force} of {count.daemons} daemons"
+        )
+    missing = sum(count.daemons - count.in_force for count in report.counts)
+    if missing:
+        print(
+            f"  {missing} daemons do not have it yet; they take it when they can be "
+            "reached"
+        )
+
+
+def _explained(failure, preview):
+    if failure.code != Conflict.code:
+        return failure
+    return CommandFailed(
+        f"nothing was changed: another operator changed team {preview.team} after "
+        f"version {preview.version}: {failure}",
+        failure.details,
+    )
--- /dev/null
+++ b/goldcresthoist/cli/_main.py
@@ -0,0 +1,159 @@
+"""Reading of the command line and exit statuses."""
+
+import contextlib
+import inspect
+import io
+import os
+import re
+import sys
+
+import fire
+from fire.core import FireExit
+
+from goldcresthoist import __version__
+from goldcresthoist.cli._commands import Commands
+from goldcresthoist.cli._invocation import Invocation
+from goldcresthoist.cli.errors import CommandError, CommandFailed, UsageError
+from goldcresthoist.config import ConfigError, ConfigurationConflict
+
+PROGRAM = "goldcresthoist"
+SUCCESS = 0
+FAILURE = 1
+BAD_USAGE = 2
+INTERRUPTED = 130
+HELP_FLAGS = ("--help", "-h")
+FLAGS_WITHOUT_VALUE = ("--json",)
+
+# The two errors of fire that occur in practice, to say them in the terms of --help.
+_MISSING = re.compile(r"no value for the required arguments?: (.+)")
+_LEFT_OVER = re.compile(r"Could not consume arg: (.+)")
+
+
+def main(arguments=None):
+    """Run one command.
+
+    Parameters
+    ----------
+    arguments : list of str, optional
+        By default those of the process.
+
+    Returns
+    -------
+    int
+        Exit status: 0 success, 1 failure, 2 settings, questionnaire or usage not valid.
+    """
+    arguments = sys.argv[1:] if arguments is None else list(arguments)
+    try:
+        status = _run(arguments)
+        sys.stdout.flush()
+        return status
+    except UsageError as exc:
+        return _fail(f"{exc}; see {PROGRAM} --help", BAD_USAGE)
+    except CommandFailed as exc:
+        return _fail(str(exc), FAILURE, exc.details)
+    except CommandError as exc:
+        return _fail(str(exc), exc.status)
+    except ConfigurationConflict as exc:
+        return _fail(str(exc), FAILURE)
+    except ConfigError as exc:
+        return _fail(str(exc), BAD_USAGE)
+    except BrokenPipeError:
+        # The reader of the output is gone; nothing may be written at exit either.
+        os.dup2(os.open(os.devnull, os.O_WRONLY), sys.stdout.fileno())
+        return FAILURE
+    except OSError as exc:
+        return _fail(str(exc), FAILURE)
+    except KeyboardInterrupt:
+        return INTERRUPTED
+
+
+def _run(arguments):
+    if arguments == ["--version"]:
+        print(f"{PROGRAM} {__version__}")
+        return SUCCESS
+    if any(argument in HELP_FLAGS for argument in arguments):
+        print(_help_text(arguments))
+        return SUCCESS
+    invocation = _parse(arguments)
+    return invocation.function(*invocation.arguments)
+
+
+def _parse(arguments):
+    component, rest = _find(arguments)
+    if not callable(component):
+        raise UsageError(_missing_command(component, rest))
+    _check_flags(rest)
+    command = arguments[: len(arguments) - len(rest)]
+    errors = io.StringIO()
+    try:
+        with contextlib.redirect_stderr(errors):
+            result = fire.Fire(
+                Commands,
+                command=[*command, *rest],
+                name=PROGRAM,
+                serialize=lambda _result: None,
+            )
+    except FireExit as exc:
+        raise UsageError(_fire_message(command, exc)) from exc
+    if not isinstance(result, Invocation):
+        raise UsageError(f"{' '.join(command)}: not a command")
+    return result
+
+
+def _check_flags(words):
+    """Refuse what fire would take as its own flags or as the value True."""
+    if "--" in words:
+        raise UsageError("unexpected argument --")
+    for word, following in zip(words, [*words[1:], "--"]):
+        if not word.startswith("--") or "=" in word or word in FLAGS_WITHOUT_VALUE:
+            continue
+        if following.startswith("--"):
+            raise UsageError(f"{word} needs a value")
+
+
+def _find(arguments):
+    """Return the command or group that leading words name, and the other words."""
+    component = Commands()
+    for index, word in enumerate(arguments):
+        names = _command_names(component)
+        if callable(component) or word not in names:
+            return component, arguments[index:]
+        component = getattr(component, word)
+    return component, []
+
+
+def _command_names(component):
+    members = {**vars(type(component)), **vars(component)}
+    return [name for name in members if not name.startswith("_")]
+
+
+def _missing_command(component, rest):
+    names = ", ".join(_command_names(component))
+    if rest:
+        return f"unknown command {rest[0]!r}, expected one of {names}"
+    return f"missing command, expected one of {names}"
+
+
+def _fire_message(command, exit_):
+    element = exit_.trace.elements[-1]
+    reason = str(element.ErrorAsStr()) if element.HasError() else "not understood"
+    if match := _MISSING.search(reason):
+        names = ", ".join(name.strip().upper() for name in match[1].split(","))
+        reason = f"missing argument {names}"
+    elif match := _LEFT_OVER.search(reason):
+        reason = f"unexpected argument {match[1]}"
+    return f"{' '.join(command)}: {' '.join(reason.split())}"
+
+
+def _help_text(arguments):
+    words = [word for word in arguments if word not in HELP_FLAGS]
+    component, rest = _find(words)
+    if rest and not callable(component):
+        raise UsageError(_missing_command(component, rest))
+    return inspect.getdoc(component)
+
+
+def _fail(message, status, details=()):
+    lines = [f"{PROGRAM}: {message}", *(f"  {line}" for line in details)]
+    print("\n".join(lines), file=sys.stderr)
+    return status
--- /dev/null
+++ b/goldcresthoist/cli/_status.py
@@ -0,0 +1,33 @@
+"""Commands that run a daemon and show its state."""
+
+import importlib
+import sys
+
+from goldcresthoist._io_uring import refuse_io_uring
+from goldcresthoist.cli._client import OperatorClient
+from goldcresthoist.cli.errors import UsageError
+from goldcresthoist.config import Settings
+from goldcresthoist.telemetry import log_event
+
+BOOLEANS = {"True": True, "False": False}
+
+
+def run_daemon(path):
+    """Run the daemon until it has drained; return its exit status."""
+    settings = Settings.from_file(path)
+    if not refuse_io_uring():
+        log_event("warning", "io_uring could not be refused")
+    # The daemon's modules are loaded for this command only, so that the others start
+    # quickly.
+    daemon = importlib.import_module("goldcresthoist.daemon")
+    return daemon.run(settings) or 0
+
+
+def show_status(settings, address, json):
+    """Print the status page."""
+    if json not in BOOLEANS:
+        raise UsageError(f"--json takes no value, got {json!r}")
+    client = OperatorClient.from_flags(settings, address)
+    target = "/status" if BOOLEANS[json] else "/status?format=text"
+    sys.stdout.write(client.get(target).decode())
+    return 0
--- a/goldcresthoist/config/__init__.py
+++ b/goldcresthoist/config/__init__.py
@@ -1,5 +1,6 @@
 """Settings, questionnaire and generated configuration."""
 
+from goldcresthoist.config.differences import differences
 from goldcresthoist.config.errors import (
     ConfigError,
     ConfigurationConflict,
@@ -33,6 +34,7 @@
     "TeamConfiguration",
     "Upload",
     "WorkRule",
+    "differences",
     "generate",
     "split_address",
 ]
--- a/goldcresthoist/config/questionnaire.py
+++ b/goldcresthoist/config/questionnaire.py
@@ -116,7 +116,11 @@
     @classmethod
     def from_text(cls, text, source="questionnaire"):
         """Check a YAML text. Raises like `from_file`."""
-        document = load_yaml(text, source, InvalidAnswer)
+        return cls.from_document(load_yaml(text, source, InvalidAnswer), source)
+
+    @classmethod
+    def from_document(cls, document, source="questionnaire"):
+        """Check a document of plain dicts, lists, texts and numbers."""
         fields = Answer(source, "", document).fields(
             ("team", "places", "services"), ("duties",)
         )
--- /dev/null
+++ b/goldcresthoist/tests/builders.py
@@ -0,0 +1,155 @@
+"""Builders for tests and the demo: ports, settings, processes, waiting."""
+
+import os
+import signal
+import socket
+import subprocess
+import sys
+import tempfile
+import time
+from contextlib import ExitStack
+from pathlib import Path
+
+import yaml
+
+__all__ = [
+    "Process",
+    "free_ports",
+    "settings_document",
+    "temporary_folder",
+    "wait_until",
+    "write_settings",
+]
+
+ROOT = Path(__file__).resolve().parents[2]
+LOOPBACK = "127.0.0.1"
+SHARED_KEY = bytes(range(32)).hex()
+# A busy machine may take long to start a process; only a broken one takes longer.
+START_TIMEOUT_S = 60.0
+STOP_TIMEOUT_S = 60.0
+POLL_S = 0.05
+
+
+def free_ports(count):
+    """Return ports that are free for TCP and UDP on loopback.
+
+    All sockets stay open until every port is found, so that no port occurs twice.
+    """
+    ports = []
+    with ExitStack() as sockets:
+        while len(ports) < count:
+            tcp = sockets.enter_context(socket.socket())
+            tcp.bind((LOOPBACK, 0))
+            port = tcp.getsockname()[1]
+            udp = sockets.enter_context(
+                socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+            )
+            try:
+                udp.bind((LOOPBACK, port))
+            except OSError:
+                continue
+            ports.append(port)
+    return ports
+
+
+def settings_document(values=()):
+    """Return settings of a daemon on loopback, with ``values`` replaced."""
+    addresses = ("caller", "link", "gossip", "control", "operator", "upstream")
+    document = {
+        f"{name}_address": f"{LOOPBACK}:{port}"
+        for name, port in zip(addresses, free_ports(len(addresses)))
+    }
+    document |= {
+        "instance": "listening-room-a1",
+        "failure_domain": "archive-a",
+        "region": "archive",
+        "service": "listening-room",
+        "table_url": f"http://{LOOPBACK}:1",
+        "objects_url": f"http://{LOOPBACK}:1",
+        "access_key": "example",
+        "secret_key": "example",
+        "shared_key": SHARED_KEY,
+    }
+    return document | dict(values)
+
+
+def write_settings(folder, values=()):
+    """Write a settings file and return its path."""
+    document = settings_document(values)
+    path = Path(folder) / f"{document['instance']}.yaml"
+    path.write_text(yaml.safe_dump(document))
+    return path
+
+
+def temporary_folder(test):
+    """Return a folder that is removed when the test ends."""
+    folder = tempfile.TemporaryDirectory()
+    test.addCleanup(folder.cleanup)
+    return Path(folder.name)
+
+
+def wait_until(condition, what, timeout_s=START_TIMEOUT_S):
+    """Poll ``condition()`` until it is true and return its value.
+
+    Raises
+    ------
+    TimeoutError
+        Naming ``what`` did not happen.
+    """
+    deadline = time.monotonic() + timeout_s
+    while not (result := condition()):
+        if time.monotonic() > deadline:
+            raise TimeoutError(f"{what}: not within {timeout_s:g} s")
+        time.sleep(POLL_S)
+    return result
+
+
+class Process:
+    """A module of this package that runs as a process of its own.
+
+    Parameters
+    ----------
+    name : str
+        For messages and the log file.
+    folder : Path
+        Where the log file is written.
+    arguments : list of str
+        What follows ``python -m``.
+    """
+
+    def __init__(self, name, folder, arguments):
+        self.name = name
+        self.log_path = Path(folder) / f"{name}.log"
+        self.log = self.log_path.open("wb")
+        self.popen = subprocess.Popen(
+            [sys.executable, "-m", *arguments],
+            cwd=ROOT,
+            env={**os.environ, "PYTHONPATH": str(ROOT)},
+            stdin=subprocess.DEVNULL,
+            stdout=self.log,
+            stderr=subprocess.STDOUT,
+        )
+
+    def is_running(self):
+        """Return whether the process has not ended."""
+        return self.popen.poll() is None
+
+    def terminate(self):
+        """Send SIGTERM."""
+        if self.is_running():
+            self.popen.send_signal(signal.SIGTERM)
+
+    def wait(self, timeout_s=STOP_TIMEOUT_S):
+        """Return the exit status; the process is killed after the timeout."""
+        try:
+            return self.popen.wait(timeout_s)
+        except subprocess.TimeoutExpired:
+            self.popen.kill()
+            return self.popen.wait()
+        finally:
+            self.log.close()
+
+    def log_tail(self, lines=10):
+        """Return the last lines of the log."""
+        text = self.log_path.read_text(errors="replace")
+        return "\n".join(text.splitlines()[-lines:])
