--- /dev/null
+++ b/goldcresthoist/tests/test_build_binary.py
@@ -0,0 +1,43 @@
+"""Tests of the parts of ``make binary`` that need no compiler."""
+
+import sys
+import unittest
+from pathlib import Path
+
+ROOT = Path(__file__).resolve().parents[2]
+sys.path.insert(0, str(ROOT / "tools"))
+
+from binary.payload import (  # noqa: E402
+    dependency_order,
+    module_name,
+    package_modules,
+)
+
+
+class PayloadTest(unittest.TestCase):
+    def test_module_of_a_shared_object(self):
+        """Guards against extension modules that the program cannot find."""
+        for path, name in (
+            ("python3.11/lib-dynload/_ssl.cpython-311-x86_64-linux-gnu.so", "_ssl"),
+            ("uvloop/loop.cpython-311-x86_64-linux-gnu.so", "uvloop.loop"),
+            ("a/b/c.abi3.so", "a.b.c"),
+        ):
+            self.assertEqual(module_name(path), name)
+
+    def test_libraries_follow_those_they_need(self):
+        """Guards against a library that is loaded from the system instead."""
+        needed = {
+            "libssl": ["libcrypto", "libc"],
+            "libcrypto": ["libz"],
+            "libz": ["libc"],
+        }
+        self.assertEqual(dependency_order(needed), ["libz", "libcrypto", "libssl"])
+
+    def test_circular_libraries_are_an_error(self):
+        with self.assertRaises(ValueError):
+            dependency_order({"a": ["b"], "b": ["a"]})
+
+    def test_program_has_the_lazily_imported_daemon_but_no_tests(self):
+        modules = package_modules(ROOT, "goldcresthoist")
+        self.assertIn("goldcresthoist.daemon", modules)
+        self.assertFalse([name for name in modules if ".tests" in name])
--- /dev/null
+++ b/tools/binary/__init__.py
@@ -0,0 +1,1 @@
+"""Parts of the build of the single-file program."""
--- /dev/null
+++ b/tools/binary/boot.py
@@ -0,0 +1,44 @@
+"""Start of the single-file program: loads extension modules from memory."""
+
+import os
+import sys
+from importlib.machinery import ExtensionFileLoader, ModuleSpec
+from zipimport import zipimporter
+
+from _binary_index import EXTENSIONS
+
+PROGRAM_FILE = "/proc/self/exe"
+
+
+class MemoryExtensionFinder:
+    """Finds extension modules in the archive at the end of the program.
+
+    The system's loader needs a file, so that each one is copied to an anonymous memory
+    file. It stays open, because the loader tells libraries apart by their path.
+    """
+
+    def __init__(self):
+        self.archive = zipimporter(PROGRAM_FILE)
+
+    def find_spec(self, name, path=None, target=None):
+        """Return the spec of an extension module, or None for other modules."""
+        member = EXTENSIONS.get(name)
+        if member is None:
+            return None
+        descriptor = os.memfd_create(name)
+        with open(descriptor, "wb", closefd=False) as file:
+            file.write(self.archive.get_data(member))
+        origin = f"/proc/self/fd/{descriptor}"
+        return ModuleSpec(name, ExtensionFileLoader(name, origin), origin=origin)
+
+
+def main():
+    """Run the command line."""
+    sys.meta_path.insert(0, MemoryExtensionFinder())
+    # Imported here, because it needs extension modules.
+    from goldcresthoist.cli import main as run
+
+    sys.exit(run())
+
+
+main()
