Keep the two sets of test fakes and builders apart

Change: the in-process platform is tests/fake_platform.py, the store's builders are config/tests/store_builders.py.

--- a/goldcresthoist/config/tests/builders.py
+++ b/goldcresthoist/config/tests/builders.py
@@ -1,4 +1,3 @@
-<<<<<<< HEAD
 """Builders of configuration for tests."""
 
 import msgspec
@@ -20,33 +19,3 @@
         for name in names
     )
     return msgspec.msgpack.encode(TeamConfiguration(team, items))
-=======
-"""Builders for tests of the configuration."""
-
-import msgspec
-
-from goldcresthoist.config.model import ServiceConfiguration, TeamConfiguration
-
-__all__ = ["make_content"]
-
-
-def make_content(team, *services, slots=12):
-    """Return an encoded configuration with these services."""
-    return msgspec.json.encode(
-        TeamConfiguration(team, tuple(make_service(name, slots) for name in services))
-    )
-
-
-def make_service(name, slots=12):
-    """Return the configuration of one service without work."""
-    return ServiceConfiguration(
-        name=name,
-        slots=slots,
-        short_slots=4,
-        queue_limit=48,
-        retry_share=0.08,
-        hedge_share=0.05,
-        measuring_share=0.01,
-        work=(),
-    )
->>>>>>> platform-third
--- a/goldcresthoist/config/tests/test_store.py
+++ b/goldcresthoist/config/tests/test_store.py
@@ -13,7 +13,7 @@
 )
 from goldcresthoist.config.model import TeamConfiguration
 from goldcresthoist.config.store import ConfigurationStore
-from goldcresthoist.config.tests.builders import make_content
+from goldcresthoist.config.tests.store_builders import make_content
 from goldcresthoist.config.versions import Accepted, NotAccepted, OutcomeNotKnown
 from goldcresthoist.tests.platform_builders import (
     make_object_client,
--- a/goldcresthoist/operations/tests/builders.py
+++ b/goldcresthoist/operations/tests/builders.py
@@ -4,7 +4,7 @@
 import hashlib
 
 from goldcresthoist.operations import OperationLedger, UploadReceiver
-from goldcresthoist.tests.fakes import FakeObjects, FakeTable, Host
+from goldcresthoist.tests.fake_platform import FakeObjects, FakeTable, Host
 
 __all__ = ["Daemon", "Platform", "chunks_of", "in_time", "sha256_of"]
 
--- a/goldcresthoist/operations/tests/test_ledger.py
+++ b/goldcresthoist/operations/tests/test_ledger.py
@@ -21,7 +21,7 @@
     Unknown,
 )
 from goldcresthoist.operations.tests.builders import Platform, in_time
-from goldcresthoist.tests.fakes import VirtualTimeTestCase
+from goldcresthoist.tests.fake_platform import VirtualTimeTestCase
 
 
 class LedgerTest(VirtualTimeTestCase):
--- a/goldcresthoist/operations/tests/test_uploads.py
+++ b/goldcresthoist/operations/tests/test_uploads.py
@@ -26,7 +26,7 @@
     in_time,
     sha256_of,
 )
-from goldcresthoist.tests.fakes import VirtualTimeTestCase
+from goldcresthoist.tests.fake_platform import VirtualTimeTestCase
 
 BODY = bytes(range(100))
 SUM = sha256_of(BODY)
