callpath: tests of streaming, cancellation and wrong answers

Cause: the thin path had one test. Streaming, deadlines and cancellation were in it already, but nothing showed that they hold.

Change: nodes and stand-ins in the event loop of a test, a raw HTTP caller, and tests of whole bodies, pipelining, refusal codes, untrustworthy answers, deadlines, leaving callers and at-most-once work. The stand-in can answer early.

--- /dev/null
+++ b/goldcresthoist/daemon/tests/test_routing.py
@@ -0,0 +1,311 @@
+"""Calls through two nodes in one event loop."""
+
+import unittest
+
+from goldcresthoist.config import AtMostOnce, Repeatable
+from goldcresthoist.tests.cluster import ClusterCase
+from goldcresthoist.tests.fakes import FakeLedger
+from goldcresthoist.tests.processes import make_rule, make_service
+
+MIB = 1024 * 1024
+
+
+def lookup_service(**changes):
+    """Return a service with work of three kinds."""
+    return make_service(
+        "lookup",
+        make_rule("read", "GET", "/items"),
+        make_rule("put", "PUT", "/items", Repeatable()),
+        make_rule("settle", "POST", "/settle", AtMostOnce()),
+        **changes,
+    )
+
+
+class RoutingCase(ClusterCase):
+    """One entry node, and the given number of upstreams of ``lookup``."""
+
+    async def start_path(self, upstreams=1, ledger=None, **changes):
+        """Start the nodes; return the entry node and the list of the others."""
+        names = [(f"lookup-{number}", "lookup") for number in range(upstreams)]
+        nodes = await self.start_cluster(
+            [lookup_service(**changes)], ("front", "front"), *names, ledger=ledger
+        )
+        return nodes["front"], [nodes[name] for name, _ in names]
+
+
+class AnswerTest(RoutingCase):
+    """Guards against answers that differ from what the upstream sent."""
+
+    async def test_own_headers_replace_those_of_the_caller(self):
+        entry, _ = await self.start_path()
+        caller = await self.caller(entry)
+        headers = [
+            ("Connection", "keep-alive, X-Private"),
+            ("X-Private", "1"),
+            ("X-Public", "2"),
+            ("Goldcrest-Deadline-Ms", "5000"),
+            ("Keep-Alive", "timeout=1"),
+        ]
+        answer = await caller.call("GET", "/lookup/items/7?a=b", headers)
+        received = answer.json()["headers"]
+        self.assertEqual(answer.json()["target"], "/items/7?a=b")
+        self.assertNotIn("x-private", received)
+        self.assertNotIn("keep-alive", received)
+        self.assertEqual(received["x-public"], "2")
+        self.assertLessEqual(int(received["goldcrest-deadline-ms"]), 5000)
+        self.assertTrue(received["goldcrest-request-id"].startswith("front-"))
+
+    async def test_bodies_are_relayed_whole_both_ways(self):
+        nodes = await self.start_path()
+        for node in (nodes[0], nodes[1][0]):
+            caller = await self.caller(node)
+            for size in (0, 1, 40_000, 70_000, 3 * MIB):
+                with self.subTest(node=node.plan.member.instance, size=size):
+                    body = bytes(range(256)) * (size // 256) + b"x" * (size % 256)
+                    answer = await caller.call("PUT", "/lookup/items?echo=1", (), body)
+                    self.assertEqual(answer.body, body)
+            for option in ("", "&chunked=1"):
+                target = f"/lookup/items?size={3 * MIB}{option}"
+                answer = await caller.call("GET", target)
+                self.assertEqual(len(answer.body), 3 * MIB)
+
+    async def test_pipelined_answers_keep_their_order(self):
+        entry, _ = await self.start_path()
+        caller = await self.caller(entry)
+        delays = [30, 0, 10, 0, 20, 0]
+        for number, delay in enumerate(delays):
+            caller.send("GET", f"/lookup/items/{number}?ms={delay}")
+        for number, delay in enumerate(delays):
+            answer = await caller.answer()
+            target = f"/items/{number}?ms={delay}"
+            self.assertEqual(answer.json()["target"], target)
+
+    async def test_head_request_has_no_body(self):
+        entry, _ = await self.start_path()
+        caller = await self.caller(entry)
+        answer = await caller.call("HEAD", "/lookup/items")
+        self.assertEqual(answer.status, 200)
+        answer = await caller.call("GET", "/lookup/items")
+        self.assertEqual(answer.json()["method"], "GET")
+
+
+class RefusalTest(RoutingCase):
+    """Guards against refusals that are unclear or claim the wrong outcome."""
+
+    async def test_codes_of_requests_that_cannot_run(self):
+        entry, (upstream,) = await self.start_path()
+        cases = [
+            ("GET", "/nowhere/items", (), 404, "unknown-service"),
+            ("GET", "/lookup/else", (), 404, "unknown-work"),
+            ("DELETE", "/lookup/items", (), 404, "unknown-work"),
+            ("POST", "/lookup/settle", (), 400, "key-required"),
+            ("GET", "/lookup/items/../settle", (), 400, "bad-request"),
+        ]
+        for value in ("0", "-1", "soon", "1e3", ""):
+            headers = [("Goldcrest-Deadline-Ms", value)]
+            cases.append(("GET", "/lookup/items", headers, 400, "bad-request"))
+        long_key = [("Idempotency-Key", "k" * 256)]
+        cases.append(("POST", "/lookup/settle", long_key, 400, "bad-request"))
+        for method, target, headers, status, code in cases:
+            with self.subTest(target=target, headers=headers):
+                caller = await self.caller(entry)
+                answer = await caller.call(method, target, headers)
+                self.assertEqual((answer.status, answer.code), (status, code))
+                self.assertEqual(answer.outcome, "not-run")
+                self.assertEqual(answer.json()["scope"], "request")
+        self.assertEqual(upstream.standin.counts["started"], 0)
+
+    async def test_no_upstream(self):
+        nodes = await self.start_cluster(["lookup"], ("front", "front"))
+        caller = await self.caller(nodes["front"])
+        answer = await caller.call("GET", "/lookup/items")
+        self.assertEqual((answer.status, answer.code), (503, "no-upstream"))
+        self.assertEqual(answer.outcome, "not-run")
+        self.assertIn("retry-after", answer.headers)
+
+    async def test_upstream_that_is_not_listening(self):
+        entry, (upstream,) = await self.start_path()
+        upstream.standin.listener.close()
+        await upstream.standin.listener.wait_closed()
+        caller = await self.caller(entry)
+        headers = [("Idempotency-Key", "k1")]
+        answer = await caller.call("POST", "/lookup/settle", headers)
+        self.assertEqual((answer.code, answer.outcome), ("no-upstream", "not-run"))
+        self.assertFalse(upstream.ledger.answers)
+
+
+class WrongAnswerTest(RoutingCase):
+    """Guards against partial answers and answers of another request."""
+
+    async def test_answer_that_cannot_be_trusted_is_refused(self):
+        entry, (upstream,) = await self.start_path(retry_share=0.0)
+        entry.router.make_budget = no_retries
+        for fault in ("close", "garbage", "no-length", "conflict"):
+            with self.subTest(fault=fault):
+                caller = await self.caller(entry)
+                answer = await caller.call("GET", f"/lookup/items?fault={fault}")
+                self.assertEqual((answer.status, answer.code), (502, "upstream-failed"))
+                self.assertEqual(answer.outcome, "failed")
+        self.assertFalse(upstream.upstream.connections & upstream_busy(upstream))
+
+    async def test_truncated_answer_closes_the_caller_connection(self):
+        entry, (upstream,) = await self.start_path()
+        for node in (entry, upstream):
+            caller = await self.caller(node)
+            caller.send("GET", "/lookup/items?fault=truncate")
+            received = await caller.closed()
+            head, _, body = received.partition(b"\r\n\r\n")
+            if head.startswith(b"HTTP/1.1 200"):
+                self.assertIn(b"\r\ncontent-length: 100", head)
+                self.assertLess(len(body), 100)
+            else:
+                # A reset may overtake the bytes that were relayed before it.
+                self.assertEqual(received, b"")
+
+    async def test_bytes_after_an_answer_reach_no_other_call(self):
+        entry, (upstream,) = await self.start_path()
+        caller = await self.caller(entry)
+        for _ in range(20):
+            answer = await caller.call("GET", "/lookup/items?fault=longer")
+            self.assertEqual(answer.body, b"ok")
+            answer = await caller.call("GET", "/lookup/items/next")
+            self.assertEqual(answer.json()["target"], "/items/next")
+
+    async def test_early_answer_ends_the_upstream_connection(self):
+        entry, (upstream,) = await self.start_path()
+        caller = await self.caller(entry)
+        body = bytes(2 * MIB)
+        caller.send("PUT", "/lookup/items?fault=early", (), body)
+        answer = await caller.answer()
+        self.assertEqual(answer.status, 413)
+        caller = await self.caller(entry)
+        answer = await caller.call("GET", "/lookup/items/next")
+        self.assertEqual(answer.json()["target"], "/items/next")
+
+
+class CancellationTest(RoutingCase):
+    """Guards against work that goes on for nobody and late answers that leak."""
+
+    async def test_deadline_is_carried_to_the_upstream(self):
+        entry, (upstream,) = await self.start_path()
+        for node in (entry, upstream):
+            before = upstream.standin.counts["cancelled"]
+            caller = await self.caller(node)
+            headers = [("Goldcrest-Deadline-Ms", "50")]
+            answer = await caller.call("GET", "/lookup/items?ms=60000", headers)
+            self.assertEqual((answer.status, answer.code), (504, "deadline-exceeded"))
+            counts = upstream.standin.counts
+            await self.eventually(lambda: counts["cancelled"] > before)
+            answer = await caller.call("GET", "/lookup/items/next")
+            self.assertEqual(answer.json()["target"], "/items/next")
+        await upstream.server.wait_until_idle()
+
+    async def test_leaving_caller_cancels_the_call(self):
+        entry, (upstream,) = await self.start_path()
+        counts = upstream.standin.counts
+        for node in (entry, upstream):
+            before = counts["cancelled"]
+            started = counts["started"]
+            caller = await self.caller(node)
+            caller.send("GET", "/lookup/items?ms=60000")
+            await self.eventually(lambda: counts["started"] > started)
+            await caller.close()
+            await self.eventually(lambda: counts["cancelled"] > before)
+        await upstream.server.wait_until_idle()
+
+    async def test_truncated_request_body_is_not_completed(self):
+        entry, (upstream,) = await self.start_path()
+        counts = upstream.standin.counts
+        caller = await self.caller(entry)
+        caller.write(b"PUT /lookup/items HTTP/1.1\r\nHost: a\r\n")
+        caller.write(b"Content-Length: 1000000\r\n\r\n" + bytes(500_000))
+        await self.eventually(lambda: counts["started"] == 1)
+        await caller.close()
+        await self.eventually(lambda: counts["cancelled"] == 1)
+        self.assertEqual(counts["completed"], 0)
+
+    async def test_slow_caller_holds_the_upstream_back(self):
+        entry, (upstream,) = await self.start_path()
+        caller = await self.caller(entry)
+        size = 64 * MIB
+        caller.send("GET", f"/lookup/items?size={size}")
+        await self.eventually(lambda: upstream.standin.counts["started"] == 1)
+        await self.eventually(lambda: upstream_paused(upstream))
+        answer = await caller.answer()
+        self.assertEqual(len(answer.body), size)
+
+
+class OnceTest(RoutingCase):
+    """Guards against at-most-once work that runs twice or unrecorded."""
+
+    async def test_repeat_gets_the_recorded_answer(self):
+        ledger = FakeLedger()
+        entry, upstreams = await self.start_path(2, ledger=ledger)
+        caller = await self.caller(entry)
+        headers = [("Idempotency-Key", "k1")]
+        bodies = set()
+        for _ in range(10):
+            answer = await caller.call("POST", "/lookup/settle", headers, b"7")
+            self.assertEqual(answer.status, 200)
+            bodies.add(answer.body)
+        self.assertEqual(len(bodies), 1)
+        self.assertEqual(sum(u.standin.runs["k1"] for u in upstreams), 1)
+        answer = await caller.call("POST", "/lookup/settle", headers, b"8")
+        self.assertEqual((answer.status, answer.code), (409, "key-conflict"))
+
+    async def test_failed_work_is_unknown_and_not_retried(self):
+        entry, upstreams = await self.start_path(2, ledger=FakeLedger())
+        caller = await self.caller(entry)
+        headers = [("Idempotency-Key", "k1")]
+        target = "/lookup/settle?fault=close"
+        answer = await caller.call("POST", target, headers)
+        self.assertEqual((answer.code, answer.outcome), ("upstream-failed", "unknown"))
+        answer = await caller.call("POST", target, headers)
+        self.assertEqual(answer.code, "operation-unknown")
+        self.assertEqual(answer.json()["scope"], "operation")
+        self.assertEqual(sum(u.standin.runs["k1"] for u in upstreams), 1)
+
+    async def test_started_work_is_recorded_when_the_caller_leaves(self):
+        ledger = FakeLedger()
+        entry, (upstream,) = await self.start_path(1, ledger=ledger)
+        caller = await self.caller(entry)
+        headers = [("Idempotency-Key", "k1")]
+        caller.send("POST", "/lookup/settle?ms=50", headers)
+        await self.eventually(lambda: upstream.standin.counts["started"])
+        await caller.close()
+        await upstream.server.wait_until_idle()
+        self.assertEqual(upstream.standin.counts["cancelled"], 0)
+        caller = await self.caller(entry)
+        answer = await caller.call("POST", "/lookup/settle?ms=50", headers)
+        self.assertEqual(answer.status, 200)
+        self.assertEqual(upstream.standin.runs["k1"], 1)
+
+
+def no_retries(configuration):
+    """Return a budget that allows nothing."""
+
+    class Budget:
+        def record_call(self):
+            pass
+
+        def try_retry(self):
+            return False
+
+        def try_hedge(self):
+            return False
+
+    return Budget()
+
+
+def upstream_busy(node):
+    """Return the connections of a node that hold an exchange."""
+    return {item for item in node.upstream.connections if item.busy}
+
+
+def upstream_paused(node):
+    """Return whether a node has stopped to read from its upstream."""
+    return any(item.read_paused for item in node.upstream.connections)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/goldcresthoist/tests/cluster.py
@@ -0,0 +1,159 @@
+"""Nodes and stand-ins in the event loop of a test, and a raw HTTP caller."""
+
+import asyncio
+import json
+import unittest
+
+from goldcresthoist.tests.pathnode import PathNode
+from goldcresthoist.tests.processes import make_member, make_plan, make_service
+from goldcresthoist.tests.standins.upstream import UpstreamStandIn
+
+__all__ = ["Answer", "ClusterCase", "RawCaller"]
+
+# Far beyond what any step takes, so that a busy machine does not change the verdict.
+PATIENCE_S = 60.0
+
+
+class Answer:
+    """One parsed answer."""
+
+    def __init__(self, status, headers, body):
+        self.status = status
+        self.headers = headers
+        self.body = body
+
+    def json(self):
+        """Return the decoded JSON body."""
+        return json.loads(self.body)
+
+    @property
+    def code(self):
+        """The refusal code, or None."""
+        return self.headers.get("goldcrest-refusal")
+
+    @property
+    def outcome(self):
+        """The outcome that a refusal states, or None."""
+        return self.headers.get("goldcrest-outcome")
+
+
+class RawCaller:
+    """A connection of a caller on which tests write bytes."""
+
+    def __init__(self, reader, writer):
+        self.reader = reader
+        self.writer = writer
+
+    @classmethod
+    async def connect(cls, address):
+        """Connect to ``"ip:port"``."""
+        host, _, port = address.rpartition(":")
+        return cls(*await asyncio.open_connection(host, int(port)))
+
+    def write(self, data):
+        """Send raw bytes."""
+        self.writer.write(data)
+
+    def send(self, method, target, headers=(), body=b""):
+        """Send a request with a Content-Length."""
+        lines = [f"{method} {target} HTTP/1.1", "Host: test"]
+        lines += [f"{name}: {value}" for name, value in headers]
+        if body or method in ("POST", "PUT"):
+            lines.append(f"Content-Length: {len(body)}")
+        self.write("\r\n".join([*lines, "", ""]).encode() + body)
+
+    async def call(self, method, target, headers=(), body=b""):
+        """Send a request and return its answer."""
+        self.send(method, target, headers, body)
+        return await self.answer(bodyless=method == "HEAD")
+
+    async def answer(self, bodyless=False):
+        """Read one answer.
+
+        Raises
+        ------
+        EOFError, ConnectionError
+            When the connection ends before the answer is complete.
+        """
+        async with asyncio.timeout(PATIENCE_S):
+            head = await self.reader.readuntil(b"\r\n\r\n")
+            status_line, *lines = head.decode().strip().split("\r\n")
+            status = int(status_line.split()[1])
+            headers = {}
+            for line in lines:
+                name, _, value = line.partition(":")
+                headers[name.strip().lower()] = value.strip()
+            body = b"" if bodyless else await self._body(headers)
+            return Answer(status, headers, body)
+
+    async def _body(self, headers):
+        if headers.get("transfer-encoding") != "chunked":
+            return await self.reader.readexactly(int(headers["content-length"]))
+        parts = []
+        while size := int(await self.reader.readline(), 16):
+            parts.append(await self.reader.readexactly(size))
+            await self.reader.readline()
+        await self.reader.readline()
+        return b"".join(parts)
+
+    async def closed(self):
+        """Wait for the end of the connection; return the bytes before it."""
+        async with asyncio.timeout(PATIENCE_S):
+            try:
+                return await self.reader.read()
+            except ConnectionError:
+                return b""
+
+    async def close(self):
+        """Close the connection."""
+        self.writer.close()
+        try:
+            await self.writer.wait_closed()
+        except ConnectionError:
+            pass
+
+
+class ClusterCase(unittest.IsolatedAsyncioTestCase):
+    """Starts nodes with an upstream each; all of it ends with the test."""
+
+    async def start_cluster(self, services, *instances, ledger=None, **changes):
+        """Start a node for each ``(instance, service)``; return the nodes by name."""
+        members = [make_member(name, service) for name, service in instances]
+        services = [
+            service if not isinstance(service, str) else make_service(service)
+            for service in services
+        ]
+        nodes = {}
+        for member in members:
+            standin = UpstreamStandIn()
+            port = await standin.listen("127.0.0.1", 0)
+            self.addAsyncCleanup(stop_standin, standin)
+            plan = make_plan(member, port, members, services)
+            node = PathNode(plan, ledger=ledger)
+            node.standin = standin
+            await node.start()
+            self.addAsyncCleanup(node.close)
+            nodes[member.instance] = node
+        return nodes
+
+    async def caller(self, node):
+        """Connect a caller to a node."""
+        caller = await RawCaller.connect(node.plan.caller_address)
+        self.addAsyncCleanup(caller.close)
+        return caller
+
+    async def eventually(self, condition):
+        """Wait until ``condition()`` is true."""
+        async with asyncio.timeout(PATIENCE_S):
+            while True:
+                if condition():
+                    return
+                await asyncio.sleep(0.005)
+
+
+async def stop_standin(standin):
+    """Stop a stand-in and drop its connections."""
+    standin.listener.close()
+    for connection in tuple(standin.connections):
+        connection.transport.abort()
+    await asyncio.sleep(0)
--- a/goldcresthoist/tests/standins/upstream.py
+++ b/goldcresthoist/tests/standins/upstream.py
@@ -8,7 +8,8 @@
 - ``status``: status of the answer; ``echo``: answer with the request body;
 - ``fault``: ``crash`` (the process ends), ``close`` (no answer), ``truncate``,
   ``longer`` (bytes after the answer), ``garbage``, ``no-length``, ``conflict``
-  (ambiguous framing), ``reset-body`` (ends while the body is received).
+  (ambiguous framing), ``early`` (answers before the body is received), ``reset-body``
+  (ends while the body is received).
 
 ``POST /-/faults`` sets the same for all requests with JSON: ``delay_ms``, ``status``,
 ``fault``, and ``crash_on`` (a text; a request whose target has it ends the process).
@@ -49,6 +50,7 @@
         self.counts = Counter()
         self.runs = Counter()
         self.listener = None
+        self.connections = set()
 
     async def listen(self, host, port):
         """Start to accept connections; return the port."""
@@ -99,10 +101,12 @@
         """Start the task of the connection."""
         self.transport = transport
         self.standin.counts["connections"] += 1
+        self.standin.connections.add(self)
         self.task = asyncio.get_running_loop().create_task(self._run())
 
     def connection_lost(self, exc):
         """Count a request that is cut off."""
+        self.standin.connections.discard(self)
         if self.running:
             self.standin.counts["cancelled"] += 1
         self.task.cancel()
@@ -187,6 +191,7 @@
             fault = request.options.get("fault") or faults.get("fault")
             if fault == "early":
                 self._write_head(413, 0)
+                standin.counts["completed"] += 1
                 return
             await request.complete.wait()
             if fault:
