--- a/goldcresthoist/callers/exchange.py
+++ b/goldcresthoist/callers/exchange.py
@@ -99,8 +99,12 @@
 
     def answer(self, refusal):
         """Answer with a refusal."""
+        self.answer_with_status(refusal.status(), refusal)
+
+    def answer_with_status(self, status, refusal):
+        """Answer with a refusal document under another status."""
         body = msgspec.json.encode(refusal)
-        self.start(refusal.status(), refusal.headers(len(body)), body, True)
+        self.start(status, refusal.headers(len(body)), body, True)
 
     def abort(self):
         """Reset the connection, so that the caller sees the answer was cut."""
--- a/goldcresthoist/callers/refusal.py
+++ b/goldcresthoist/callers/refusal.py
@@ -24,6 +24,8 @@
     "operation-cancelled": 410,
     "upload-offset": 409,
     "upload-digest": 422,
+    "unknown-operation": 404,
+    "answer-not-kept": 409,
 }
 
 
@@ -34,6 +36,7 @@
     RUNNING = "running"
     UNKNOWN = "unknown"
     FAILED = "failed"
+    FINISHED = "finished"
 
 
 class Scope:
--- a/goldcresthoist/daemon/answers.py
+++ b/goldcresthoist/daemon/answers.py
@@ -13,6 +13,8 @@
     "operation-running": (Outcome.RUNNING, Scope.OPERATION),
     "operation-unknown": (Outcome.UNKNOWN, Scope.OPERATION),
     "operation-cancelled": (Outcome.NOT_RUN, Scope.OPERATION),
+    "upload-digest": (Outcome.NOT_RUN, Scope.OPERATION),
+    "answer-not-kept": (Outcome.FINISHED, Scope.OPERATION),
 }
 
 
--- /dev/null
+++ b/goldcresthoist/daemon/assembly.py
@@ -0,0 +1,182 @@
+"""All parts of one daemon."""
+
+import asyncio
+from time import monotonic
+
+from goldcresthoist.callers import CallerServer
+from goldcresthoist.config import ConfigurationHolder, split_address
+from goldcresthoist.config.store import ConfigurationStore
+from goldcresthoist.control import ControlPlane, CrashSuspect
+from goldcresthoist.daemon.bootstrap import Announcements, ConfigurationLoader
+from goldcresthoist.daemon.configuring import ConfigurationChanges
+from goldcresthoist.daemon.interim import (
+    Admission,
+    Chooser,
+    CrashSuspects,
+    RetryBudget,
+    policy_named,
+)
+from goldcresthoist.daemon.operation_paths import OperationPaths
+from goldcresthoist.daemon.owners import OwnerCheck, owner_name
+from goldcresthoist.daemon.records import OperationRecords
+from goldcresthoist.daemon.routing import CallRouter
+from goldcresthoist.daemon.serving import CallServer
+from goldcresthoist.daemon.settling import OperationsDesk
+from goldcresthoist.daemon.status import StatusReporter
+from goldcresthoist.daemon.upload_entry import UploadEntry
+from goldcresthoist.daemon.upload_run import UploadRunner
+from goldcresthoist.gossip import Membership
+from goldcresthoist.links import LinkPool, LinkServer
+from goldcresthoist.objects import ObjectClient
+from goldcresthoist.operations import OperationLedger, UploadReceiver
+from goldcresthoist.operators import OperatorServer
+from goldcresthoist.table import TableClient
+from goldcresthoist.telemetry import Counters
+from goldcresthoist.upstreams import ConnectionPool
+
+__all__ = ["Daemon"]
+
+
+class Daemon:
+    """Builds the parts, starts them in order and stops them.
+
+    Must be made inside a running event loop.
+
+    Parameters
+    ----------
+    settings : Settings
+    """
+
+    def __init__(self, settings):
+        self.settings = settings
+        self.key = settings.shared_key_bytes()
+        self.counters = Counters()
+        self.table = TableClient.from_settings(settings)
+        self.objects = ObjectClient.from_settings(settings)
+        self.membership = Membership.from_settings(settings)
+        self.holder = ConfigurationHolder()
+        self.suspects = CrashSuspects()
+        self.control = ControlPlane(
+            self.membership, self.holder, self.key, self._export_suspects
+        )
+        self.store = ConfigurationStore(self.table, self.objects)
+        self.announcements = Announcements(self.table, settings)
+        self.loader = ConfigurationLoader(self.store, self.control, self.membership)
+        self._build_operations()
+        self._build_calls()
+        self._build_pages()
+
+    def _build_operations(self):
+        own = self.membership.view.record
+        self.is_gone = OwnerCheck(self.membership)
+        self.ledger = OperationLedger(self.table, self.objects)
+        self.receiver = UploadReceiver(self.ledger)
+        self.records = OperationRecords(
+            self.ledger, owner_name(own.instance, own.incarnation), self.is_gone
+        )
+
+    def _build_calls(self):
+        settings = self.settings
+        policy = policy_named(settings.policy)
+        self.upstream = ConnectionPool(*split_address(settings.upstream_address))
+        self.server = CallServer(
+            settings.service,
+            settings.instance,
+            self.holder,
+            lambda configuration: Admission(configuration, policy),
+            self.upstream,
+            self.suspects,
+            self.records,
+            self.counters,
+        )
+        self.server.uploads = UploadRunner(
+            settings.service, self.upstream, self.records, self.receiver
+        )
+        self.links = LinkPool(settings.instance, self.key, self.counters)
+        self.link_server = LinkServer(
+            settings.instance, self.key, self.server, self.counters
+        )
+        self.router = CallRouter(
+            self.membership.view.record,
+            self.membership,
+            self.holder,
+            Chooser(policy),
+            lambda configuration: RetryBudget.from_configuration(configuration, policy),
+            self.links,
+            self.server,
+            self.counters,
+            OperationPaths(self.records),
+        )
+        self.router.ready = False
+        self.router.uploads = UploadEntry(
+            self.router, self.receiver, self.is_gone, self.counters
+        )
+        self.caller_server = CallerServer(self.router.handle, self.counters)
+
+    def _build_pages(self):
+        self.status = StatusReporter(self)
+        self.pages = OperatorServer(
+            self.key,
+            self.status,
+            ConfigurationChanges(self.store, self.control, self.membership),
+            OperationsDesk(self.ledger, self.holder, self.is_gone),
+            self.counters,
+        )
+        self.counters.gauge("in_flight", lambda: self.server.load_report().in_flight)
+        self.counters.gauge("queued", lambda: self.server.load_report().queued)
+        self.counters.gauge("ready", lambda: int(self.router.ready))
+        self.counters.gauge("members", self._member_gauge)
+
+    async def listen(self):
+        """Open all sockets.
+
+        Raises
+        ------
+        OSError
+            When an address cannot be used.
+        """
+        settings = self.settings
+        await self.pages.start(settings.operator_address)
+        await self.membership.start()
+        await self.control.start()
+        await self.link_server.listen(*split_address(settings.link_address))
+        await self.caller_server.listen(*split_address(settings.caller_address))
+
+    async def load_suspects(self):
+        """Take over the crash suspects that another daemon of the service knows."""
+        for member in self.membership.members_of(self.settings.service):
+            if member.instance == self.settings.instance:
+                continue
+            try:
+                async with self.control.client.connect(member) as peer:
+                    suspects = await peer.crash_suspects()
+            except Exception:  # noqa: BLE001
+                continue
+            now = monotonic()
+            for item in suspects:
+                self.suspects.learn(item.fingerprint, item.count, now)
+            return
+
+    async def close(self):
+        """Stop all parts."""
+        await self.caller_server.close()
+        await self.links.close()
+        await self.link_server.close()
+        await self.server.close()
+        await self.upstream.close()
+        await self.pages.stop()
+        await self.control.close()
+        await self.membership.close()
+        await asyncio.gather(self.table.close(), self.objects.close())
+        self.counters.close()
+
+    def _export_suspects(self):
+        now = monotonic()
+        return tuple(
+            CrashSuspect(fingerprint, count, age_s)
+            for fingerprint, count, age_s in self.suspects.export(now)
+        )
+
+    def _member_gauge(self):
+        for state, number in self.status.status().members.items():
+            yield {"state": state}, number
--- a/goldcresthoist/daemon/interim.py
+++ b/goldcresthoist/daemon/interim.py
@@ -212,3 +212,7 @@
         """Clear a suspect that succeeded."""
         if succeeded:
             self.counts.pop(fingerprint, None)
+
+    def export(self, now):
+        """Return ``(fingerprint, count, age in seconds)`` of all suspects."""
+        return [(name, count, 0.0) for name, count in self.counts.items()]
--- a/goldcresthoist/daemon/once.py
+++ b/goldcresthoist/daemon/once.py
@@ -32,16 +32,12 @@
         # leave a started operation behind.
         if not await upstream_call.connect():
             return False
-        message = upstream_call.call.open
         try:
-            verdict = await self.ledger.start(
-                self.service, message.key, message.fingerprint
-            )
-            match verdict:
+            match await self.start(upstream_call.call.open):
                 case OperationStarted(token):
                     return await self._run_started(upstream_call, token)
-                case AnswerRecorded():
-                    await _send_recorded(upstream_call, verdict)
+                case AnswerRecorded() as recorded:
+                    await _send_recorded(upstream_call, recorded)
                 case OperationRefused(code, text, retry_after_ms):
                     load = upstream_call.server.load_report()
                     upstream_call.call.refuse(code, text, load, retry_after_ms)
@@ -49,18 +45,25 @@
             upstream_call.release()
         return False
 
+    async def start(self, message):
+        """Write the record of a call; return the verdict."""
+        return await self.ledger.start(self.service, message.key, message.fingerprint)
+
+    async def send(self, upstream_call, token):
+        """Send the started request; return the `UpstreamAnswer`."""
+        return await upstream_call.send()
+
     async def _run_started(self, upstream_call, token):
         # The record outlives the caller's patience, so started work gets its full time.
         full = monotonic() + upstream_call.rule.longest_s
         upstream_call.deadline = max(upstream_call.deadline, full)
         try:
-            answer = await upstream_call.send()
+            answer = await self.send(upstream_call, token)
             body = await _read_whole(answer)
             if body is None:
                 await upstream_call.relay(answer)
         except (UpstreamError, LinkError) as exc:
-            await self.ledger.finish_unknown(token)
-            await upstream_call.fail(exc)
+            await self.on_failure(upstream_call, token, exc)
             return False
         headers = end_to_end(answer.headers)
         await self.ledger.finish(token, answer.status, headers, body)
@@ -70,6 +73,11 @@
             )
         return True
 
+    async def on_failure(self, upstream_call, token, error):
+        """Record and report a started call without a complete answer."""
+        await self.ledger.finish_unknown(token)
+        await upstream_call.fail(error)
+
 
 async def _read_whole(answer):
     """Return the body, or None when it is too large to keep.
--- a/goldcresthoist/daemon/routing.py
+++ b/goldcresthoist/daemon/routing.py
@@ -6,11 +6,12 @@
 from time import monotonic
 
 from goldcresthoist.callers import BadRequest, CallerError, Refusal
-from goldcresthoist.config.model import Read
+from goldcresthoist.config.model import Read, Upload
 from goldcresthoist.daemon.call_head import fingerprint, read_head, split_target
 from goldcresthoist.daemon.kinds import KEYED
 from goldcresthoist.daemon.routed_call import RoutedCall
 from goldcresthoist.daemon.routes import ServiceRoute
+from goldcresthoist.daemon.upload_entry import UPLOAD_METHODS
 
 __all__ = ["CallRouter"]
 
@@ -39,9 +40,8 @@
         Runs calls at the own upstream.
     counters
         Has ``add(name, amount=1, **labels)``.
-    reserved : coroutine function, optional
-        ``reserved(service, request, exchange)`` answers the paths below
-        ``/<service>/-/``.
+    operation_paths : OperationPaths, optional
+        Answers the paths below ``/<service>/-/``.
     """
 
     def __init__(
@@ -54,7 +54,7 @@
         links,
         server,
         counters,
-        reserved=None,
+        operation_paths=None,
     ):
         self.instance = member.instance
         self.failure_domain = member.failure_domain
@@ -66,7 +66,9 @@
         self.links = links
         self.server = server
         self.counters = counters
-        self.reserved = reserved
+        self.operation_paths = operation_paths
+        # Set by the daemon, since it needs this router.
+        self.uploads = None
         self.routes = {}
         self.ready = True
         self.loop = asyncio.get_running_loop()
@@ -107,8 +109,9 @@
         if configuration is None:
             self.refuse(exchange, "unknown-service", f"no service {service!r}")
             return
-        if target.startswith(RESERVED_PREFIX) and self.reserved is not None:
-            await self.reserved(service, request, exchange)
+        if target.startswith(RESERVED_PREFIX) and self.operation_paths is not None:
+            paths = self.operation_paths
+            await paths.handle(self, service, target, request, exchange)
             return
         rule = _find_rule(configuration, request.method, target)
         if rule is None:
@@ -121,6 +124,9 @@
             self.refuse(exchange, "key-required", message)
             return
         route = self._route_to(service, configuration)
+        if isinstance(rule.kind, Upload) and self.uploads is not None:
+            await self.uploads.handle(request, exchange, route, rule, head, target)
+            return
         await self._run(request, exchange, route, rule, head, target)
 
     async def _run(self, request, exchange, route, rule, head, target):
@@ -166,8 +172,18 @@
         # Prefixes of work must not be left by a path that climbs.
         raise BadRequest("the path must not contain '..'")
     rule = configuration.rule_for(method, path)
+    if rule is None and method in UPLOAD_METHODS:
+        rule = _find_upload(configuration, path)
     if rule is None and method == "HEAD":
         rule = configuration.rule_for("GET", path)
         if rule is not None and not isinstance(rule.kind, Read):
             rule = None
     return rule
+
+
+def _find_upload(configuration, path):
+    for method in ("POST", "PUT"):
+        rule = configuration.rule_for(method, path)
+        if rule is not None and isinstance(rule.kind, Upload):
+            return rule
+    return None
--- a/goldcresthoist/daemon/serving.py
+++ b/goldcresthoist/daemon/serving.py
@@ -5,6 +5,7 @@
 
 from loguru import logger
 
+from goldcresthoist.config.model import AtMostOnce, Upload
 from goldcresthoist.daemon.interim import AdmissionRefused, Draining, Saturated
 from goldcresthoist.daemon.kinds import KEYED
 from goldcresthoist.daemon.once import OnceRunner
@@ -58,6 +59,8 @@
         self.upstream = upstream
         self.suspects = suspects
         self.once = OnceRunner(service, upstream, ledger)
+        # An `UploadRunner`, set by a daemon that has an object store.
+        self.uploads = None
         self.counters = counters
         self.configuration = None
         self.admission = None
@@ -161,8 +164,11 @@
 
     async def _run(self, call, rule, deadline):
         upstream_call = UpstreamCall(call, self.upstream, rule, deadline, self)
-        if isinstance(rule.kind, KEYED):
-            return await self.once.run(upstream_call)
+        match rule.kind:
+            case Upload() if self.uploads is not None:
+                return await self.uploads.run(upstream_call)
+            case AtMostOnce() | Upload():
+                return await self.once.run(upstream_call)
         return await upstream_call.run()
 
     def crashed(self, call):
--- /dev/null
+++ b/goldcresthoist/daemon/upload_run.py
@@ -0,0 +1,88 @@
+"""Uploads at the daemon beside the upstream: the stored body is sent once."""
+
+import asyncio
+from time import monotonic
+
+import msgspec
+
+from goldcresthoist.daemon.once import OnceRunner
+from goldcresthoist.daemon.verdicts import verdict_of
+from goldcresthoist.objects import ObjectsError
+from goldcresthoist.operations import MissingPart
+from goldcresthoist.table import TableError
+from goldcresthoist.upstreams import RequestWriter, UpstreamBroken, UpstreamError
+
+__all__ = ["UploadRunner"]
+
+START_TIMEOUT_S = 5.0
+
+
+class StoredBodyUnreadable(UpstreamError):
+    """The stored body could not be read to its end.
+
+    The upstream has got fewer bytes than the Content-Length, so the request it has is
+    not a complete one.
+    """
+
+
+class UploadRunner(OnceRunner):
+    """Runs an upload whose body is whole in the object store.
+
+    Parameters
+    ----------
+    service : str
+    upstream : ConnectionPool
+    records : OperationRecords
+    receiver : UploadReceiver
+    """
+
+    def __init__(self, service, upstream, records, receiver):
+        super().__init__(service, upstream, records)
+        self.receiver = receiver
+
+    async def start(self, message):
+        """Start the operation of the upload; return the verdict."""
+        deadline = asyncio.get_running_loop().time() + START_TIMEOUT_S
+        result = await self.receiver.start(
+            self.service, message.key, self.ledger.owner, deadline
+        )
+        return verdict_of(result, self.ledger.is_gone)
+
+    async def send(self, upstream_call, token):
+        """Send the stored body; return the `UpstreamAnswer`."""
+        length = token.upload.length
+        message = upstream_call.call.open
+        headers = (*message.headers, (b"content-length", b"%d" % length))
+        message = msgspec.structs.replace(
+            message, headers=headers, body=b"", end=length == 0
+        )
+        connection = upstream_call.connection
+        upstream_call.server.active.add(upstream_call)
+        time_left_s = upstream_call.deadline - monotonic()
+        writer = RequestWriter(message, max(1, int(time_left_s * 1000)))
+        connection.send(writer.start(), False)
+        if length:
+            chunks = self.receiver.body(token)
+            upstream_call.sender = asyncio.create_task(
+                _send_chunks(connection, writer, chunks)
+            )
+        return await connection.head()
+
+    async def on_failure(self, upstream_call, token, error):
+        """Release the start if the upstream never got the whole body."""
+        if not isinstance(error, StoredBodyUnreadable):
+            await super().on_failure(upstream_call, token, error)
+            return
+        await self.ledger.release(token)
+        load = upstream_call.server.load_report()
+        upstream_call.call.refuse("store-unavailable", str(error), load, 1000)
+
+
+async def _send_chunks(connection, writer, chunks):
+    try:
+        async for chunk in chunks:
+            await connection.send_body(writer.frame(chunk))
+    except UpstreamBroken as exc:
+        connection.give_up(exc)
+    except (TableError, ObjectsError, MissingPart) as exc:
+        connection.give_up(StoredBodyUnreadable(f"the stored body: {exc}"))
--- a/goldcresthoist/telemetry/_catalogue.py
+++ b/goldcresthoist/telemetry/_catalogue.py
@@ -20,6 +20,8 @@
     "operation-cancelled",
     "upload-offset",
     "upload-digest",
+    "unknown-operation",
+    "answer-not-kept",
 )
 
 RETRY_REASONS = (
