--- a/goldcresthoist/daemon/assembly.py
+++ b/goldcresthoist/daemon/assembly.py
@@ -67,7 +67,7 @@
         self._build_pages()
 
     def _build_operations(self):
-        own = self.membership.view.record
+        own = self.membership.view.local()
         self.is_gone = OwnerCheck(self.membership)
         self.ledger = OperationLedger(self.table, self.objects)
         self.receiver = UploadReceiver(self.ledger)
@@ -97,7 +97,7 @@
             settings.instance, self.key, self.server, self.counters
         )
         self.router = CallRouter(
-            self.membership.view.record,
+            self.membership.view.local(),
             self.membership,
             self.holder,
             Chooser(policy),
