--- a/goldcresthoist/telemetry/_catalogue.py
+++ b/goldcresthoist/telemetry/_catalogue.py
@@ -30,6 +30,9 @@
     "crashed",
     "link-closed",
     "connect-failed",
+    "failed-status",
+    "no-upstream",
+    "timed-out",
 )
 
 # Label values that a counter may have; any other value is counted as "other".
@@ -48,6 +51,9 @@
     "links_opened": "Connections to and from other daemons that were authenticated.",
     "links_closed": "Connections to other daemons that ended, by reason.",
     "links_rejected": "Connections that failed the handshake, by reason.",
+    "link_connects_failed": "Connections to other daemons that could not be made.",
+    "answers_cut": "Answers cut off because the upstream's answer did not end.",
+    "caller_connections_timed_out": "Connections of callers closed for being idle.",
     "datagrams_dropped": "Gossip datagrams dropped, by reason.",
     "gossip_bytes": "Bytes of gossip, by direction.",
     "upstreams_ejected": "Upstreams ejected after consecutive failures, by service.",
--- /dev/null
+++ b/goldcresthoist/tests/test_documents.py
@@ -0,0 +1,24 @@
+"""Tests that the documents cover what operators meet."""
+
+import re
+import unittest
+from pathlib import Path
+
+from goldcresthoist.telemetry import METRICS, REFUSAL_CODES
+
+ROOT = Path(__file__).resolve().parents[2]
+LINK = re.compile(r"\]\(([^)#]+)\)")
+
+
+class DocumentsTest(unittest.TestCase):
+    def test_operations_page_explains_each_code_and_metric(self):
+        """Guards against a code that nobody on call can look up."""
+        page = (ROOT / "docs" / "operations.md").read_text()
+        for name in (*REFUSAL_CODES, *METRICS):
+            self.assertIn(f"`{name}`", page)
+
+    def test_links_of_the_readme_exist(self):
+        """Guards against links to pages that were renamed."""
+        links = set(LINK.findall((ROOT / "README.md").read_text()))
+        for link in links:
+            self.assertTrue((ROOT / link).exists(), link)
