--- a/goldcresthoist/tests/builders.py
+++ b/goldcresthoist/tests/builders.py
@@ -1,6 +1,7 @@
 """Builders for tests and the demo: ports, settings, processes, waiting."""
 
 import os
+import random
 import signal
 import socket
 import subprocess
@@ -28,28 +29,34 @@
 START_TIMEOUT_S = 60.0
 STOP_TIMEOUT_S = 60.0
 POLL_S = 0.05
+_PORTS = range(12_000, 32_000)
 
 
 def free_ports(count):
     """Return ports that are free for TCP and UDP on loopback.
 
+    They lie below the range from which the system takes ports for outgoing
+    connections, so that none is taken before the process that needs it has started.
     All sockets stay open until every port is found, so that no port occurs twice.
     """
     ports = []
     with ExitStack() as sockets:
-        while len(ports) < count:
-            tcp = sockets.enter_context(socket.socket())
-            tcp.bind((LOOPBACK, 0))
-            port = tcp.getsockname()[1]
-            udp = sockets.enter_context(
-                socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
-            )
-            try:
-                udp.bind((LOOPBACK, port))
-            except OSError:
-                continue
-            ports.append(port)
-    return ports
+        for port in random.sample(_PORTS, len(_PORTS)):
+            if len(ports) == count:
+                return ports
+            if _bind(port, sockets):
+                ports.append(port)
+    raise OSError(f"no {count} free ports on {LOOPBACK}")
+
+
+def _bind(port, sockets):
+    try:
+        for kind in (socket.SOCK_STREAM, socket.SOCK_DGRAM):
+            held = sockets.enter_context(socket.socket(socket.AF_INET, kind))
+            held.bind((LOOPBACK, port))
+    except OSError:
+        return False
+    return True
 
 
 def settings_document(values=()):
@@ -115,14 +122,16 @@
         Where the log file is written.
     arguments : list of str
         What follows ``python -m``.
+    program : str, optional
+        Runs instead of ``python -m``.
     """
 
-    def __init__(self, name, folder, arguments):
+    def __init__(self, name, folder, arguments, program=None):
         self.name = name
         self.log_path = Path(folder) / f"{name}.log"
         self.log = self.log_path.open("wb")
         self.popen = subprocess.Popen(
-            [sys.executable, "-m", *arguments],
+            [*([program] if program else [sys.executable, "-m"]), *arguments],
             cwd=ROOT,
             env={**os.environ, "PYTHONPATH": str(ROOT)},
             stdin=subprocess.DEVNULL,
--- /dev/null
+++ b/goldcresthoist/tests/fleet.py
@@ -0,0 +1,241 @@
+"""A fleet on loopback: stand-ins of the platform, upstreams, and a daemon beside each.
+
+Every part is a process of its own.
+"""
+
+import http.client
+import json
+import subprocess
+import sys
+import tempfile
+from pathlib import Path
+from typing import NamedTuple
+
+from goldcresthoist.tests.builders import (
+    LOOPBACK,
+    ROOT,
+    Process,
+    free_ports,
+    settings_document,
+    wait_until,
+    write_settings,
+)
+
+__all__ = ["ARCHIVE_TARGETS", "Answer", "Fleet", "Target", "call"]
+
+# The Archive's targets by service.
+ARCHIVE_TARGETS = {"listening-room": 4, "ledger": 4, "deposit-desk": 3}
+FAILURE_DOMAINS = ("archive-a", "archive-b", "archive-c")
+CALL_TIMEOUT_S = 60
+COMMAND_TIMEOUT_S = 120
+STANDINS = "goldcresthoist.tests.standins"
+
+
+class Answer(NamedTuple):
+    """A complete HTTP answer. Header names are lower case."""
+
+    status: int
+    headers: dict
+    body: bytes
+
+    def document(self):
+        """Return the body decoded from JSON."""
+        return json.loads(self.body)
+
+    def refusal(self):
+        """Return the code of a refusal, or None."""
+        return self.headers.get("goldcrest-refusal")
+
+
+def call(address, method, target, body=None, headers=()):
+    """Send one request on a connection of its own and return its `Answer`."""
+    connection = http.client.HTTPConnection(address, timeout=CALL_TIMEOUT_S)
+    try:
+        connection.request(method, target, body, dict(headers))
+        response = connection.getresponse()
+        names = {name.lower(): value for name, value in response.getheaders()}
+        return Answer(response.status, names, response.read())
+    finally:
+        connection.close()
+
+
+class Target:
+    """One upstream with the daemon beside it."""
+
+    def __init__(self, fleet, service, number):
+        domain = FAILURE_DOMAINS[number % len(FAILURE_DOMAINS)]
+        self.fleet = fleet
+        self.name = f"{service}-{number + 1}"
+        self.service = service
+        self.settings = settings_document(
+            {
+                "instance": self.name,
+                "failure_domain": domain,
+                "service": service,
+                "table_url": f"http://{LOOPBACK}:{fleet.table_port}",
+                "objects_url": f"http://{LOOPBACK}:{fleet.objects_port}",
+            }
+        )
+        self.settings_path = write_settings(fleet.folder, self.settings)
+        self.callers = self.settings["caller_address"]
+        self.operators = self.settings["operator_address"]
+        self.upstream_address = self.settings["upstream_address"]
+        self.upstream = None
+        self.daemon = None
+
+    def start_upstream(self):
+        """Start the upstream stand-in."""
+        port = self.upstream_address.rpartition(":")[2]
+        arguments = [f"{STANDINS}.upstream", "--port", port, "--service-ms", "5"]
+        self.upstream = self.fleet.start(f"{self.name}-upstream", arguments)
+
+    def start_daemon(self):
+        """Start the daemon."""
+        arguments = ["daemon", str(self.settings_path)]
+        if not self.fleet.program:
+            arguments.insert(0, "goldcresthoist")
+        self.daemon = self.fleet.start(self.name, arguments, self.fleet.program)
+
+    def health(self):
+        """Return the status of the health page, or None without an answer."""
+        try:
+            return call(self.operators, "GET", "/health").status
+        except (OSError, http.client.HTTPException):
+            return None
+
+    def version(self, team):
+        """Return the version of a team's configuration in force here."""
+        status = call(self.operators, "GET", "/status").document()
+        versions = {item["team"]: item["version"] for item in status["configurations"]}
+        return versions.get(team, 0)
+
+    def upstream_runs(self, key):
+        """Return how often the upstream received an idempotency key."""
+        report = call(self.upstream_address, "GET", "/-/calls").document()
+        return report["runs"].get(key, 0)
+
+    def upstream_answers(self):
+        """Return whether the upstream accepts calls."""
+        try:
+            return call(self.upstream_address, "GET", "/-/calls").status == 200
+        except (OSError, http.client.HTTPException):
+            return False
+
+
+class Fleet:
+    """Processes of the whole Archive.
+
+    Parameters
+    ----------
+    targets : dict of str to int
+        Number of targets by service.
+    program : str, optional
+        The built program to run as daemon and command line, instead of the sources.
+    """
+
+    def __init__(self, targets=ARCHIVE_TARGETS, program=None):
+        self.temporary = tempfile.TemporaryDirectory(prefix="goldcresthoist-")
+        self.folder = Path(self.temporary.name)
+        self.program = program
+        self.processes = []
+        self.table_port, self.objects_port = free_ports(2)
+        self.targets = [
+            Target(self, service, number)
+            for service, count in targets.items()
+            for number in range(count)
+        ]
+
+    def __enter__(self):
+        return self
+
+    def __exit__(self, *exc_info):
+        self.stop()
+        self.temporary.cleanup()
+
+    def start(self, name, arguments, program=None):
+        """Start a process that is stopped with the fleet."""
+        process = Process(name, self.folder, arguments, program)
+        self.processes.append(process)
+        return process
+
+    def start_all(self):
+        """Start every part and wait until all of them answer."""
+        for module, port in (
+            ("table", self.table_port),
+            ("objects", self.objects_port),
+        ):
+            self.start(module, [f"{STANDINS}.{module}", "--port", str(port)])
+            wait_until(lambda port=port: _answers(port), f"stand-in {module} answers")
+        for target in self.targets:
+            target.start_upstream()
+        for target in self.targets:
+            self._wait(target.upstream, target.upstream_answers)
+            target.start_daemon()
+        for target in self.targets:
+            self._wait(target.daemon, lambda target=target: target.health())
+
+    def command(self, *arguments):
+        """Run a command of the program; return (exit status, output)."""
+        start = [self.program] if self.program else [sys.executable, "-m"]
+        start += [] if self.program else ["goldcresthoist"]
+        result = subprocess.run(
+            [*start, *(str(argument) for argument in arguments)],
+            cwd=ROOT,
+            stdout=subprocess.PIPE,
+            stderr=subprocess.STDOUT,
+            text=True,
+            timeout=COMMAND_TIMEOUT_S,
+        )
+        return result.returncode, result.stdout
+
+    def wait_until_ready(self, team, version):
+        """Wait until every daemon takes calls under a version."""
+        for target in self.targets:
+            wait_until(
+                lambda target=target: (
+                    target.version(team) >= version and target.health() == 200
+                ),
+                f"{target.name} has version {version} of {team} in force",
+            )
+
+    def of_service(self, service):
+        """Return the targets of a service."""
+        return [target for target in self.targets if target.service == service]
+
+    def stop_daemons(self):
+        """Stop every daemon with SIGTERM; return exit statuses by name."""
+        daemons = [target.daemon for target in self.targets if target.daemon]
+        for daemon in daemons:
+            daemon.terminate()
+        return {daemon.name: daemon.wait() for daemon in daemons}
+
+    def stop(self):
+        """Stop every process with SIGTERM, the last one first."""
+        for process in reversed(self.processes):
+            process.terminate()
+        for process in reversed(self.processes):
+            process.wait()
+
+    def logs(self):
+        """Return the last log lines of every process that ended with an error."""
+        return "\n".join(
+            f"--- {process.name} (exit status {process.popen.poll()})\n"
+            f"{process.log_tail()}"
+            for process in self.processes
+            if process.popen.poll() not in (None, 0)
+        )
+
+    def _wait(self, process, condition):
+        def answered_or_ended():
+            return condition() or not process.is_running()
+
+        wait_until(answered_or_ended, f"{process.name} answers")
+        if not process.is_running():
+            raise RuntimeError(f"{process.name} ended: {process.log_tail()}")
+
+
+def _answers(port):
+    try:
+        return call(f"{LOOPBACK}:{port}", "GET", "/-/calls")
+    except (OSError, http.client.HTTPException):
+        return None
