--- a/goldcresthoist/config/__init__.py
+++ b/goldcresthoist/config/__init__.py
@@ -8,6 +8,13 @@
     InvalidSetting,
 )
 from goldcresthoist.config.generation import generate
+from goldcresthoist.config.holder import (
+    ConfigurationHolder,
+    InForce,
+    InvalidContent,
+    content_digest,
+    decode_content,
+)
 from goldcresthoist.config.model import (
     AtMostOnce,
     Read,
@@ -24,7 +31,10 @@
     "AtMostOnce",
     "ConfigError",
     "ConfigurationConflict",
+    "ConfigurationHolder",
+    "InForce",
     "InvalidAnswer",
+    "InvalidContent",
     "InvalidSetting",
     "Questionnaire",
     "Read",
@@ -36,5 +46,7 @@
     "WorkRule",
     "differences",
     "generate",
+    "content_digest",
+    "decode_content",
     "split_address",
 ]
