--- /dev/null
+++ b/goldcresthoist/operators/ledger_operations.py
@@ -0,0 +1,154 @@
+"""Operations service of a daemon: reads and settles the records in the table."""
+
+import asyncio
+from datetime import UTC, datetime
+
+from goldcresthoist.operations import InvalidOperationKey
+from goldcresthoist.operations.results import (
+    OpenOperation,
+    Settled,
+    StoreUnavailable,
+)
+from goldcresthoist.operations.results import Settlement as Word
+from goldcresthoist.operators.errors import (
+    Conflict,
+    InvalidRequest,
+    NotFound,
+    Unavailable,
+)
+from goldcresthoist.operators.model import OperationRecord
+from goldcresthoist.table import TableUnavailable
+
+__all__ = ["LedgerOperations"]
+
+SETTLE_LIMIT_S = 10.0
+# A list stops here; the operations in it are settled first.
+MAX_LISTED = 200
+# Pages of 100 records that one list reads at most.
+MAX_PAGES = 200
+OPEN_STATES = ("started", "unknown")
+
+
+class LedgerOperations:
+    """Shows and settles at-most-once operations.
+
+    Parameters
+    ----------
+    ledger : OperationLedger
+    holder : ConfigurationHolder
+        Names the services when all are listed.
+    is_gone : callable
+        Tells whether the process of an owner has certainly ended.
+    encode_answer : callable
+        Returns the recorded form of an answer from ``(status, headers, body)``.
+    """
+
+    def __init__(self, ledger, holder, is_gone, encode_answer):
+        self.ledger = ledger
+        self.holder = holder
+        self.is_gone = is_gone
+        self.encode_answer = encode_answer
+
+    async def list_unknown(self, service):
+        """Return open operations whose end nobody will record."""
+        names = [service] if service else sorted(self.holder.owners)
+        found = []
+        pages = MAX_PAGES
+        for name in names:
+            after = ""
+            while pages and len(found) < MAX_LISTED:
+                page = await self._page(name, after)
+                pages -= 1
+                found.extend(_listed(operation) for operation in page.operations)
+                after = page.after
+                if not after:
+                    break
+        return tuple(found[:MAX_LISTED])
+
+    async def show(self, service, key):
+        """Return the record of one operation."""
+        record = await self._record(service, key)
+        state = record.state
+        if state == "started" and self.is_gone(record.owner):
+            state = "unknown"
+        return OperationRecord(
+            service, key, state, record.owner, _iso(record.started_s)
+        )
+
+    async def settle(self, service, key, settlement):
+        """Record an operator's word about an unknown operation."""
+        record = await self._record(service, key)
+        if record.state not in OPEN_STATES:
+            raise Conflict(f"operation {key!r} of {service} is {record.state}")
+        if record.state == "started" and not self.is_gone(record.owner):
+            raise Conflict(
+                f"operation {key!r} of {service} may still run at {record.owner}"
+            )
+        result = await self.ledger.settle(
+            _open_operation(record),
+            Word.FINISHED if settlement.outcome == "ran" else Word.REFUSED,
+            settlement.author,
+            f"settled by an operator: {settlement.outcome}",
+            asyncio.get_running_loop().time() + SETTLE_LIMIT_S,
+            self._answer(settlement),
+        )
+        match result:
+            case Settled():
+                return await self.show(service, key)
+            case StoreUnavailable(reason):
+                raise Unavailable(f"the settlement may not be recorded: {reason}")
+        raise Conflict(f"operation {key!r} of {service} has changed meanwhile")
+
+    def _answer(self, settlement):
+        if settlement.outcome != "ran":
+            return None
+        headers = ((b"content-type", b"text/plain; charset=utf-8"),)
+        body = settlement.body.encode()
+        return self.encode_answer(settlement.status, headers, body)
+
+    async def _page(self, service, after):
+        try:
+            return await self.ledger.list_unknown(service, self.is_gone, after)
+        except TableUnavailable as exc:
+            raise Unavailable(str(exc)) from exc
+
+    async def _record(self, service, key):
+        try:
+            record = await self.ledger.records.get(service, key)
+        except InvalidOperationKey as exc:
+            raise InvalidRequest(str(exc)) from exc
+        except TableUnavailable as exc:
+            raise Unavailable(str(exc)) from exc
+        if record is None:
+            raise NotFound(f"no operation {key!r} of {service}")
+        return record
+
+
+def _open_operation(record):
+    return OpenOperation(
+        service=record.service,
+        key=record.key,
+        state=record.state,
+        owner=record.owner,
+        started_s=record.started_s,
+        start_nonce=record.start_nonce,
+        note=record.note,
+    )
+
+
+def _listed(operation):
+    # A started operation is listed only when its owner is gone, so that nobody knows
+    # its end either.
+    return OperationRecord(
+        operation.service,
+        operation.key,
+        "unknown",
+        operation.owner,
+        _iso(operation.started_s),
+    )
+
+
+def _iso(time_s):
+    if not time_s:
+        return ""
+    return datetime.fromtimestamp(time_s, UTC).isoformat(timespec="seconds")
