--- a/goldcresthoist/daemon/assembly.py
+++ b/goldcresthoist/daemon/assembly.py
@@ -8,7 +8,6 @@
 from goldcresthoist.config.store import ConfigurationStore
 from goldcresthoist.control import ControlPlane, CrashSuspect
 from goldcresthoist.daemon.bootstrap import Announcements, ConfigurationLoader
-from goldcresthoist.daemon.configuring import ConfigurationChanges
 from goldcresthoist.daemon.interim import (
     Admission,
     Chooser,
@@ -21,15 +20,17 @@
 from goldcresthoist.daemon.records import OperationRecords
 from goldcresthoist.daemon.routing import CallRouter
 from goldcresthoist.daemon.serving import CallServer
-from goldcresthoist.daemon.settling import OperationsDesk
 from goldcresthoist.daemon.status import StatusReporter
 from goldcresthoist.daemon.upload_entry import UploadEntry
 from goldcresthoist.daemon.upload_run import UploadRunner
+from goldcresthoist.daemon.verdicts import encode_answer
 from goldcresthoist.gossip import Membership
 from goldcresthoist.links import LinkPool, LinkServer
 from goldcresthoist.objects import ObjectClient
 from goldcresthoist.operations import OperationLedger, UploadReceiver
 from goldcresthoist.operators import OperatorServer
+from goldcresthoist.operators.fleet_configuration import FleetConfiguration
+from goldcresthoist.operators.ledger_operations import LedgerOperations
 from goldcresthoist.table import TableClient
 from goldcresthoist.telemetry import Counters
 from goldcresthoist.upstreams import ConnectionPool
@@ -115,12 +116,14 @@
 
     def _build_pages(self):
         self.status = StatusReporter(self)
+        self.changes = FleetConfiguration(
+            self.store, self.holder, self.membership, self.control.client
+        )
+        operations = LedgerOperations(
+            self.ledger, self.holder, self.is_gone, encode_answer
+        )
         self.pages = OperatorServer(
-            self.key,
-            self.status,
-            ConfigurationChanges(self.store, self.control, self.membership),
-            OperationsDesk(self.ledger, self.holder, self.is_gone),
-            self.counters,
+            self.key, self.status, self.changes, operations, self.counters
         )
         self.counters.gauge("in_flight", lambda: self.server.load_report().in_flight)
         self.counters.gauge("queued", lambda: self.server.load_report().queued)
@@ -165,6 +168,7 @@
         await self.server.close()
         await self.upstream.close()
         await self.pages.stop()
+        await self.changes.close()
         await self.control.close()
         await self.membership.close()
         await asyncio.gather(self.table.close(), self.objects.close())
