balance: choice of upstream, admission, budgets and crash suspects

A first run of the tests showed that an ejected upstream never won the comparison of two by its score at low load, and so got no trial call and never returned.

Change: policies naive and default as frozen data; upstream views grouped by distance, so that choosing never looks at every upstream; ejection capped at half, with single trial calls that a drawn upstream always takes; retry, hedge and measuring budgets; admission with reserved slots, lanes by work, early refusal and displacement by value; crash suspects with isolation.

--- a/goldcresthoist/balance/__init__.py
+++ b/goldcresthoist/balance/__init__.py
@@ -1,3 +1,43 @@
-"""Choice of upstream, admission, retries and limits."""
+"""Choice of upstream, admission, retries and limits.
 
-__all__ = []
+Objects of this package hold state in memory only. They are told the time, in monotonic
+seconds, with each call.
+"""
+
+from goldcresthoist.balance.admission import Admission, Slot
+from goldcresthoist.balance.budgets import ProbeBudget, RetryBudget
+from goldcresthoist.balance.chooser import Chooser
+from goldcresthoist.balance.errors import (
+    AdmissionRefused,
+    BalanceError,
+    Draining,
+    Saturated,
+    UnknownPolicy,
+)
+from goldcresthoist.balance.hedging import HedgeTimer
+from goldcresthoist.balance.policy import Default, Naive, Policy, policy_named
+from goldcresthoist.balance.suspects import CrashSuspects, SuspectRecord
+from goldcresthoist.balance.views import Outcome, UpstreamPool, UpstreamView
+
+__all__ = [
+    "Admission",
+    "AdmissionRefused",
+    "BalanceError",
+    "Chooser",
+    "CrashSuspects",
+    "Default",
+    "Draining",
+    "HedgeTimer",
+    "Naive",
+    "Outcome",
+    "Policy",
+    "ProbeBudget",
+    "RetryBudget",
+    "Saturated",
+    "Slot",
+    "SuspectRecord",
+    "UnknownPolicy",
+    "UpstreamPool",
+    "UpstreamView",
+    "policy_named",
+]
--- /dev/null
+++ b/goldcresthoist/balance/admission.py
@@ -0,0 +1,302 @@
+"""Admission of calls to the upstream beside a daemon."""
+
+import asyncio
+
+from goldcresthoist.balance._lanes import Lane, Waiter, is_short, split_usual_s
+from goldcresthoist.balance.errors import Draining, Saturated
+from goldcresthoist.balance.policy import Default, Naive
+from goldcresthoist.links.frames import LoadReport
+
+__all__ = ["Admission", "Slot"]
+
+UNLIMITED = 1 << 30
+SERVICE_WEIGHT = 0.05
+RETRY_AFTER_FLOOR_S = 0.01
+
+
+class Slot:
+    """The right to run one call. It must be released exactly once."""
+
+    __slots__ = ("lane", "long_from", "short", "started")
+
+    def __init__(self, lane, now):
+        self.lane = lane
+        self.short = lane.short
+        self.started = now
+        self.long_from = now + lane.short_limit_s
+
+
+class Admission:
+    """Slots and a bounded queue for one upstream.
+
+    Short work may use every slot and long work all but ``short_slots``. Each kind of
+    work waits in a lane of its own, so short work never waits behind long work. A call
+    is refused at once when its expected wait is too long for its deadline, or longer
+    than a small multiple of its usual time.
+
+    Parameters
+    ----------
+    configuration : ServiceConfiguration
+        Slots, queue limit and work of the service.
+    policy : Naive or Default
+        ``Naive`` admits everything.
+    """
+
+    def __init__(self, configuration, policy):
+        self.policy = policy
+        self.lanes = {}
+        self.running_slots = set()
+        self.short_running = 0
+        self.long_running = 0
+        self.queued = 0
+        self.service_s = 0.0
+        self.draining = False
+        self.refused = 0
+        self.next_long_from = float("inf")
+        self.apply(configuration)
+
+    def apply(self, configuration):
+        """Put a new configuration in force; running and waiting calls stay."""
+        self.configuration = configuration
+        self.border_s = split_usual_s(configuration)
+        match self.policy:
+            case Naive():
+                self.slots = self.queue_limit = UNLIMITED
+                self.long_limit, self.long_minimum = UNLIMITED, 0
+                self.wait_multiple = self.short_multiple = float("inf")
+            case Default() as policy:
+                self.slots = configuration.slots
+                self.queue_limit = configuration.queue_limit
+                self.long_limit = configuration.slots - configuration.short_slots
+                share = policy.long_minimum_share
+                self.long_minimum = min(self.long_limit, int(self.slots * share))
+                self.wait_multiple = policy.wait_multiple
+                self.short_multiple = policy.short_multiple
+        waiting = {name: lane for name, lane in self.lanes.items() if lane.waiters}
+        self.lanes = waiting | {
+            rule.name: self._lane(rule) for rule in configuration.work
+        }
+        self._sort_lanes()
+
+    @property
+    def in_flight(self):
+        """Number of calls that hold a slot."""
+        return self.short_running + self.long_running
+
+    def acquire_nowait(self, rule, deadline, now):
+        """Return a slot if one is free, else None.
+
+        Raises
+        ------
+        Draining
+            When the upstream takes no new work.
+        Saturated
+            When the call cannot end before its deadline.
+        """
+        if self.draining:
+            raise Draining
+        lane = self.lanes.get(rule.name) or self._add_lane(rule)
+        if now >= self.next_long_from:
+            self._reclassify(now)
+        if self.queued and self._anyone_waits_before(lane):
+            return None
+        if not self._has_room(lane.short):
+            return None
+        if deadline <= now:
+            self._refuse(RETRY_AFTER_FLOOR_S)
+        return self._start(lane, now)
+
+    async def acquire(self, rule, deadline, now):
+        """Wait for a slot until ``deadline``, in monotonic seconds.
+
+        Raises
+        ------
+        Draining, Saturated
+            The call was not started and holds no slot.
+        """
+        slot = self.acquire_nowait(rule, deadline, now)
+        if slot is not None:
+            return slot
+        waiter = self._enqueue(self.lanes[rule.name], deadline, now)
+        try:
+            return await waiter.future
+        except asyncio.CancelledError:
+            self._abandon(waiter, now)
+            raise
+
+    def release(self, slot, now):
+        """Give a slot back and start the calls that wait for it."""
+        if now >= self.next_long_from:
+            self._reclassify(now)
+        self.running_slots.remove(slot)
+        if slot.short:
+            self.short_running -= 1
+        else:
+            self.long_running -= 1
+        held_s = now - slot.started
+        slot.lane.record_service(held_s)
+        self.service_s += SERVICE_WEIGHT * (held_s - self.service_s)
+        self._fill(now)
+
+    def report(self):
+        """Return the load that answers carry to other daemons."""
+        slots = min(self.slots, self.configuration.slots)
+        service_ms = round(self.service_s * 1000.0, 2)
+        return LoadReport(self.in_flight, self.queued, slots, service_ms, self.draining)
+
+    def drain(self):
+        """Refuse new and waiting calls from now on; running calls go on."""
+        self.draining = True
+        for lane in self.lanes.values():
+            while lane.waiters:
+                self._fail(lane.waiters.popleft(), Draining())
+
+    def expire(self, now):
+        """Refuse the waiting calls that can no longer end before their deadline."""
+        for lane in self.lanes.values():
+            late = [item for item in lane.waiters if self._too_late(item, now)]
+            for waiter in late:
+                lane.waiters.remove(waiter)
+                self._fail(waiter, Saturated(lane.service_s))
+
+    def expected_wait_s(self, lane, now):
+        """Return the seconds that a new call of this lane is expected to wait."""
+        lanes = self.short_lanes if lane.short else self.long_lanes
+        work_s = 0.0
+        for other in lanes:
+            work_s += len(other.waiters) * other.service_s
+            if other is lane:
+                break
+        work_s += lane.service_s
+        if lane.short:
+            usable = self.slots - self.long_running
+        elif any(other.waiters for other in self.short_lanes):
+            usable = self.long_minimum
+        else:
+            usable = self.long_limit
+        return work_s / max(1, usable)
+
+    def _lane(self, rule):
+        old = self.lanes.get(rule.name)
+        short = is_short(rule, self.border_s)
+        lane = Lane(rule, short, self.short_multiple)
+        if old is not None:
+            lane.service_s = old.service_s
+            lane.waiters = old.waiters
+            for waiter in lane.waiters:
+                waiter.lane = lane
+        return lane
+
+    def _add_lane(self, rule):
+        lane = self.lanes[rule.name] = self._lane(rule)
+        self._sort_lanes()
+        return lane
+
+    def _sort_lanes(self):
+        ordered = sorted(self.lanes.values(), key=lambda lane: -lane.value_rate)
+        self.short_lanes = [lane for lane in ordered if lane.short]
+        self.long_lanes = [lane for lane in ordered if not lane.short]
+
+    def _has_room(self, short):
+        if self.short_running + self.long_running >= self.slots:
+            return False
+        return short or self.long_running < self.long_limit
+
+    def _anyone_waits_before(self, lane):
+        if any(other.waiters for other in self.short_lanes):
+            return True
+        return not lane.short and any(other.waiters for other in self.long_lanes)
+
+    def _start(self, lane, now):
+        slot = Slot(lane, now)
+        self.running_slots.add(slot)
+        if lane.short:
+            self.short_running += 1
+            if slot.long_from < self.next_long_from:
+                self.next_long_from = slot.long_from
+        else:
+            self.long_running += 1
+        return slot
+
+    def _reclassify(self, now):
+        """Count short calls that run for too long as long work."""
+        self.next_long_from = float("inf")
+        for slot in self.running_slots:
+            if not slot.short:
+                continue
+            if now >= slot.long_from:
+                slot.short = False
+                self.short_running -= 1
+                self.long_running += 1
+            elif slot.long_from < self.next_long_from:
+                self.next_long_from = slot.long_from
+
+    def _enqueue(self, lane, deadline, now):
+        wait_s = self.expected_wait_s(lane, now)
+        limit_s = self.wait_multiple * lane.rule.usual_s
+        if wait_s > limit_s or now + wait_s + lane.service_s > deadline:
+            self._refuse(wait_s)
+        if self.queued >= self.queue_limit and not self._displace(lane, wait_s):
+            self._refuse(wait_s)
+        future = asyncio.get_running_loop().create_future()
+        waiter = Waiter(lane, deadline, future)
+        lane.waiters.append(waiter)
+        self.queued += 1
+        return waiter
+
+    def _displace(self, lane, wait_s):
+        """Refuse the newest waiting call of the least valuable lane, if below this."""
+        waiting = [other for other in self.lanes.values() if other.waiters]
+        least = min(waiting, key=lambda other: other.value_rate)
+        if least.value_rate >= lane.value_rate:
+            return False
+        self._fail(least.waiters.pop(), Saturated(wait_s))
+        return True
+
+    def _refuse(self, wait_s):
+        self.refused += 1
+        raise Saturated(max(wait_s, RETRY_AFTER_FLOOR_S))
+
+    def _fail(self, waiter, error):
+        self.queued -= 1
+        if not waiter.future.done():
+            self.refused += 1
+            waiter.future.set_exception(error)
+
+    def _abandon(self, waiter, now):
+        future = waiter.future
+        if future.done() and not future.cancelled() and future.exception() is None:
+            slot = future.result()
+            self.release(slot, max(now, slot.started))
+        elif waiter in waiter.lane.waiters:
+            waiter.lane.waiters.remove(waiter)
+            self.queued -= 1
+
+    def _too_late(self, waiter, now):
+        return now + waiter.lane.service_s > waiter.deadline
+
+    def _fill(self, now):
+        while self.queued and self.in_flight < self.slots:
+            lane = self._next_lane()
+            if lane is None:
+                return
+            waiter = lane.waiters.popleft()
+            if waiter.future.done():
+                self.queued -= 1
+            elif self._too_late(waiter, now):
+                self._fail(waiter, Saturated(RETRY_AFTER_FLOOR_S))
+            else:
+                self.queued -= 1
+                waiter.future.set_result(self._start(lane, now))
+
+    def _next_lane(self):
+        """Return the lane whose oldest call gets the next free slot, or None."""
+        short = next((lane for lane in self.short_lanes if lane.waiters), None)
+        if self.long_running >= self.long_limit:
+            return short
+        long = next((lane for lane in self.long_lanes if lane.waiters), None)
+        if long is None or short is None:
+            return short or long
+        if self.long_running < self.long_minimum:
+            return long
+        return short
--- /dev/null
+++ b/goldcresthoist/balance/chooser.py
@@ -0,0 +1,207 @@
+"""Choice of the upstream for one call."""
+
+import random
+
+from goldcresthoist.balance._outliers import may_try, record_outcome
+from goldcresthoist.balance.policy import Default, Naive
+from goldcresthoist.balance.views import Outcome
+
+__all__ = ["Chooser"]
+
+# Random draws that may hit an unusable upstream before the group is searched in order.
+DRAWS = 4
+MEAN_WEIGHT = 0.02
+SLOWNESS_WEIGHT = 0.2
+# Share of its slots that an upstream is given at the start of its slow start.
+SLOW_START_FLOOR = 0.1
+FAILURE_PENALTY_LIMIT = 8
+
+
+class Chooser:
+    """Chooses upstreams and keeps what is known of them.
+
+    Parameters
+    ----------
+    policy : Naive or Default
+        How to choose.
+    rng : random.Random, optional
+        Source of randomness; tests pass a seeded one.
+    """
+
+    def __init__(self, policy, rng=None):
+        self.policy = policy
+        self.random = (rng or random.Random()).random
+
+    def choose(self, views, rule, now, exclude=()):
+        """Return the upstream for a call, or None when there is none.
+
+        Parameters
+        ----------
+        views : UpstreamPool
+            The upstreams of the service.
+        rule : WorkRule
+            The work of the call.
+        now : float
+            Monotonic seconds.
+        exclude : collection of UpstreamView
+            Upstreams already tried for this call.
+        """
+        match self.policy:
+            case Naive():
+                return self._choose_naive(views, now, exclude)
+            case Default():
+                return self._choose_default(views, rule, now, exclude)
+
+    def record_start(self, view, now):
+        """Count a call that is sent to the upstream."""
+        view.in_flight += 1
+        if view.ejections and now >= view.ejected_until:
+            view.trial_running = True
+
+    def record_end(self, view, outcome, latency_s, load, now, rule=None):
+        """Count the end of a call.
+
+        Parameters
+        ----------
+        outcome : Outcome
+            How the call ended.
+        latency_s : float
+            Seconds from `record_start`.
+        load : LoadReport or None
+            Report that the answer carried.
+        rule : WorkRule, optional
+            The work of the call; its usual time puts the latency in proportion.
+        """
+        if load is not None:
+            self.record_load(view, load, now)
+        view.in_flight -= 1
+        if outcome is Outcome.SUCCEEDED and rule is not None:
+            self._record_latency(view, latency_s / rule.usual_s, now)
+        match self.policy:
+            case Default():
+                record_outcome(view, outcome, self.policy, now)
+
+    def record_load(self, view, load, now):
+        """Take over a load report, from an answer or from a pong."""
+        others = load.in_flight + load.queued - view.in_flight
+        view.others = others if others > 0 else 0
+        view.report = load
+        view.report_time = now
+        view.draining = load.draining
+        if load.slots > 0:
+            view.slots = load.slots
+        pool = view.pool
+        if pool is not None:
+            pool.mean_others += MEAN_WEIGHT * (view.others - pool.mean_others)
+
+    def known_load(self, view, now):
+        """Return the estimated number of calls that run or wait at the upstream.
+
+        Own calls are exact. Calls of others are known from the last report; as it ages,
+        the estimate moves to the mean of the pool.
+        """
+        pool = view.pool
+        mean = pool.mean_others if pool is not None else 0.0
+        if view.report is None:
+            return view.in_flight + mean
+        half_life = self.policy.report_half_life_s
+        weight = half_life / (half_life + now - view.report_time)
+        return view.in_flight + mean + (view.others - mean) * weight
+
+    def _record_latency(self, view, ratio, now):
+        limit = getattr(self.policy, "slowness_sample_limit", ratio)
+        ratio = min(ratio, limit)
+        view.slowness += SLOWNESS_WEIGHT * (ratio - view.slowness)
+        view.slowness_time = now
+        pool = view.pool
+        if pool is not None:
+            pool.mean_slowness += MEAN_WEIGHT * (ratio - pool.mean_slowness)
+
+    def _choose_naive(self, views, now, exclude):
+        candidates = views.views
+        count = len(candidates)
+        if not count:
+            return None
+        start = int(self.random() * count)
+        for step in range(count):
+            view = candidates[(start + step) % count]
+            if not view.draining and view not in exclude:
+                return view
+        return None
+
+    def _choose_default(self, views, rule, now, exclude):
+        best = None
+        best_score = 0.0
+        for tier in views.tiers:
+            if not tier:
+                continue
+            view, score = self._better_of_two(tier, rule, now, exclude)
+            if view is None:
+                continue
+            if score < self.policy.spare_share:
+                return view
+            if best is None or score < best_score:
+                best, best_score = view, score
+        return best
+
+    def _better_of_two(self, tier, rule, now, exclude):
+        first = self._draw(tier, rule, now, exclude, None)
+        if first is None:
+            return None, 0.0
+        # A drawn upstream on trial takes the call: by its score it would never win, and
+        # without a trial it would never return.
+        if first.ejections:
+            return first, 0.0
+        score = self._score(first, now)
+        if len(tier) == 1:
+            return first, score
+        second = self._draw(tier, rule, now, exclude, first)
+        if second is None:
+            return first, score
+        if second.ejections:
+            return second, 0.0
+        other = self._score(second, now)
+        return (second, other) if other < score else (first, score)
+
+    def _draw(self, tier, rule, now, exclude, taken):
+        count = len(tier)
+        for _ in range(DRAWS):
+            view = tier[int(self.random() * count)]
+            if view is not taken and _allowed(view, rule, now, exclude):
+                return view
+        # At most half are ejected, so this ends after a few steps unless the group is
+        # small or most of it is draining.
+        start = int(self.random() * count)
+        for step in range(count):
+            view = tier[(start + step) % count]
+            if view is not taken and _allowed(view, rule, now, exclude):
+                return view
+        return None
+
+    def _score(self, view, now):
+        """Return the known load as a share of the slots, adjusted for slowness."""
+        policy = self.policy
+        score = (self.known_load(view, now) + 1.0) / view.slots
+        slow = self._relative_slowness(view, now)
+        if slow > 1.0:
+            score *= slow
+            if slow > policy.slow_ratio:
+                score += 1.0
+        age = now - view.first_seen
+        if age < policy.slow_start_s:
+            score /= max(SLOW_START_FLOOR, age / policy.slow_start_s)
+        if view.consecutive_failures and now < view.penalty_until:
+            score *= 1 + min(view.consecutive_failures, FAILURE_PENALTY_LIMIT)
+        return score
+
+    def _relative_slowness(self, view, now):
+        mean = view.pool.mean_slowness if view.pool is not None else 1.0
+        half_life = self.policy.slowness_half_life_s
+        weight = half_life / (half_life + now - view.slowness_time)
+        return (mean + (view.slowness - mean) * weight) / max(mean, 1e-6)
+
+
+def _allowed(view, rule, now, exclude):
+    if view.draining or view in exclude:
+        return False
+    return not view.ejections or may_try(view, rule, now)
--- /dev/null
+++ b/goldcresthoist/balance/errors.py
@@ -0,0 +1,42 @@
+"""Errors of the balance package."""
+
+__all__ = [
+    "AdmissionRefused",
+    "BalanceError",
+    "Draining",
+    "Saturated",
+    "UnknownPolicy",
+]
+
+
+class BalanceError(Exception):
+    """Base of all errors of this package."""
+
+
+class UnknownPolicy(BalanceError):
+    """No policy has the given name."""
+
+
+class AdmissionRefused(BalanceError):
+    """The call was not started and holds no slot."""
+
+
+class Saturated(AdmissionRefused):
+    """The expected wait for a slot is too long.
+
+    Parameters
+    ----------
+    retry_after_s : float
+        Seconds after which a slot is likely to be free.
+    """
+
+    def __init__(self, retry_after_s):
+        super().__init__(f"no slot expected to be free within {retry_after_s:.3f} s")
+        self.retry_after_s = retry_after_s
+
+
+class Draining(AdmissionRefused):
+    """The upstream takes no new work because it is about to stop."""
+
+    def __init__(self):
+        super().__init__("upstream is draining")
--- /dev/null
+++ b/goldcresthoist/balance/suspects.py
@@ -0,0 +1,116 @@
+"""Requests that were running when an upstream crashed."""
+
+import msgspec
+
+__all__ = ["REFUSED_COUNT", "CrashSuspects", "SuspectRecord"]
+
+REFUSED_COUNT = 2
+EXPIRY_S = 600.0
+# Bounds memory when callers send many different requests that crash upstreams.
+MAX_SUSPECTS = 10_000
+
+
+class SuspectRecord(msgspec.Struct, frozen=True, array_like=True):
+    """A suspect for a new daemon. Time left is in seconds since clocks differ."""
+
+    fingerprint: bytes
+    count: int
+    time_left_s: float
+
+
+class _Suspect:
+    __slots__ = ("count", "expires")
+
+    def __init__(self, count, expires):
+        self.count = count
+        self.expires = expires
+
+
+class CrashSuspects:
+    """Counts crashes by request fingerprint and isolates suspects at one upstream."""
+
+    def __init__(self):
+        self.by_fingerprint = {}
+        self.running = None
+
+    def count(self, fingerprint, now):
+        """Return how many crashes the request is counted for."""
+        suspect = self.by_fingerprint.get(fingerprint)
+        if suspect is None:
+            return 0
+        if now >= suspect.expires:
+            del self.by_fingerprint[fingerprint]
+            return 0
+        return suspect.count
+
+    def refused(self, fingerprint, now, crash_count=0):
+        """Return whether the request must not run again.
+
+        ``crash_count`` is what the entry daemon knows, from the `Open` frame.
+        """
+        return max(crash_count, self.count(fingerprint, now)) >= REFUSED_COUNT
+
+    def record_crash(self, fingerprint, now):
+        """Count a crash while the request ran; return the new count."""
+        count = self.count(fingerprint, now) + 1
+        self._store(fingerprint, count, now + EXPIRY_S, now)
+        return count
+
+    def learn(self, fingerprint, count, now):
+        """Take over the count of another daemon; the higher one holds."""
+        known = self.count(fingerprint, now)
+        self._store(fingerprint, max(known, count), now + EXPIRY_S, now)
+
+    def try_start(self, fingerprint, now, crash_count=0):
+        """Reserve the upstream for a suspect; return whether the request may run.
+
+        A request that is no suspect may always run. A suspect may run only while no
+        other suspect runs, so that a second crash identifies it.
+        """
+        if not max(crash_count, self.count(fingerprint, now)):
+            return True
+        if self.running is not None:
+            return False
+        self.running = fingerprint
+        return True
+
+    def end(self, fingerprint, succeeded):
+        """Release the reservation of a request; a success clears the suspicion."""
+        if self.running == fingerprint:
+            self.running = None
+        if succeeded:
+            self.by_fingerprint.pop(fingerprint, None)
+
+    def expire(self, now):
+        """Forget the suspects whose time is over."""
+        over = [key for key, item in self.by_fingerprint.items() if now >= item.expires]
+        for key in over:
+            del self.by_fingerprint[key]
+
+    def export(self, now):
+        """Return the records that a new daemon of the service needs."""
+        return [
+            SuspectRecord(key, item.count, item.expires - now)
+            for key, item in self.by_fingerprint.items()
+            if item.expires > now
+        ]
+
+    def load(self, records, now):
+        """Take over exported records; higher counts and later expiries hold."""
+        for record in records:
+            left_s = min(record.time_left_s, EXPIRY_S)
+            if left_s <= 0:
+                continue
+            known = self.by_fingerprint.get(record.fingerprint)
+            expires = now + left_s
+            if known is not None:
+                expires = max(expires, known.expires)
+            count = max(record.count, self.count(record.fingerprint, now))
+            self._store(record.fingerprint, count, expires, now)
+
+    def _store(self, fingerprint, count, expires, now):
+        if len(self.by_fingerprint) >= MAX_SUSPECTS:
+            self.expire(now)
+        if len(self.by_fingerprint) >= MAX_SUSPECTS:
+            self.by_fingerprint.pop(next(iter(self.by_fingerprint)))
+        self.by_fingerprint[fingerprint] = _Suspect(count, expires)
--- /dev/null
+++ b/goldcresthoist/balance/tests/builders.py
@@ -0,0 +1,49 @@
+"""Builders of test data for the balance package."""
+
+import random
+
+from goldcresthoist.balance import Chooser, Default, UpstreamPool, UpstreamView
+from goldcresthoist.config.model import (
+    AtMostOnce,
+    Read,
+    ServiceConfiguration,
+    WorkRule,
+)
+from goldcresthoist.links.frames import LoadReport
+
+SHORT = WorkRule("lookup", "GET", "/lookups", Read(), 0.005, 1.0, 1.0)
+BULK = WorkRule("scan", "GET", "/scans", Read(), 0.005, 1.0, 0.1)
+LONG = WorkRule("settle", "POST", "/settlements", AtMostOnce(), 0.1, 5.0, 5.0)
+
+
+def make_configuration(work=(SHORT, BULK, LONG), **changes):
+    """Return a service of 12 slots with 4 reserved for short work."""
+    values = {
+        "name": "souss",
+        "slots": 12,
+        "short_slots": 4,
+        "queue_limit": 48,
+        "retry_share": 0.08,
+        "hedge_share": 0.05,
+        "measuring_share": 0.01,
+        "work": work,
+    }
+    return ServiceConfiguration(**(values | changes))
+
+
+def make_pool(domains="aabbcc", now=0.0):
+    """Return a pool in domain ``a`` with one upstream per letter, named u0, u1, ..."""
+    pool = UpstreamPool("a", "north")
+    for index, domain in enumerate(domains):
+        pool.add(UpstreamView(f"u{index}", domain, "north", now))
+    return pool
+
+
+def make_chooser(policy=None, seed=7):
+    """Return a chooser whose choices repeat in every run."""
+    return Chooser(policy or Default(), random.Random(seed))
+
+
+def make_load(in_flight=0, queued=0, draining=False):
+    """Return a load report of an upstream with 12 slots."""
+    return LoadReport(in_flight, queued, 12, 5.0, draining)
--- /dev/null
+++ b/goldcresthoist/balance/tests/test_chooser.py
@@ -0,0 +1,214 @@
+"""Tests of the choice of upstreams."""
+
+import unittest
+from collections import Counter
+
+from goldcresthoist.balance import Naive, Outcome
+from goldcresthoist.balance.tests.builders import (
+    LONG,
+    SHORT,
+    make_chooser,
+    make_load,
+    make_pool,
+)
+
+CALLS = 400
+WARM = 100.0
+
+
+def choose_many(chooser, pool, now, rule=SHORT, count=CALLS, exclude=()):
+    """Return how often each instance is chosen while nothing is recorded."""
+    chosen = (chooser.choose(pool, rule, now, exclude) for _ in range(count))
+    return Counter(view.instance if view else None for view in chosen)
+
+
+def end_calls(chooser, view, outcome, now, count=1):
+    """Record calls that start and end at the upstream."""
+    for _ in range(count):
+        chooser.record_start(view, now)
+        chooser.record_end(view, outcome, 0.005, None, now, SHORT)
+
+
+class LoadTest(unittest.TestCase):
+    """Guards against calls that go to loaded or far upstreams without need."""
+
+    def setUp(self):
+        self.chooser = make_chooser()
+        self.pool = make_pool()
+
+    def report(self, instance, now, **load):
+        self.chooser.record_load(self.pool.get(instance), make_load(**load), now)
+
+    def test_spare_capacity_nearby_is_used_first(self):
+        self.assertLessEqual(
+            set(choose_many(self.chooser, self.pool, WARM)), {"u0", "u1"}
+        )
+
+    def test_calls_overflow_when_the_own_domain_is_full(self):
+        for instance in ("u0", "u1"):
+            self.report(instance, WARM, in_flight=12)
+        chosen = choose_many(self.chooser, self.pool, WARM)
+        self.assertFalse({"u0", "u1"} & set(chosen))
+
+    def test_own_calls_since_the_report_count(self):
+        view = self.pool.get("u0")
+        self.report("u0", WARM, in_flight=0)
+        for _ in range(3):
+            self.chooser.record_start(view, WARM)
+        self.assertEqual(self.chooser.known_load(view, WARM), 3)
+
+    def test_own_calls_are_not_counted_twice(self):
+        view = self.pool.get("u0")
+        for _ in range(3):
+            self.chooser.record_start(view, WARM)
+        self.report("u0", WARM, in_flight=5)
+        self.assertAlmostEqual(self.chooser.known_load(view, WARM), 5)
+
+    def test_old_report_loses_weight(self):
+        view = self.pool.get("u0")
+        self.report("u0", WARM, in_flight=12)
+        fresh = self.chooser.known_load(view, WARM)
+        old = self.chooser.known_load(view, WARM + 60.0)
+        self.assertLess(old, fresh / 4)
+
+    def test_slow_upstream_loses_to_a_farther_one(self):
+        for instance in ("u0", "u1", "u2", "u3", "u4", "u5"):
+            view = self.pool.get(instance)
+            latency_s = 0.04 if instance in ("u0", "u1") else 0.005
+            for _ in range(30):
+                self.chooser.record_start(view, WARM)
+                self.chooser.record_end(
+                    view, Outcome.SUCCEEDED, latency_s, None, WARM, SHORT
+                )
+        chosen = choose_many(self.chooser, self.pool, WARM)
+        self.assertLess(chosen["u0"] + chosen["u1"], CALLS * 0.05)
+
+    def test_slow_upstream_is_tried_again_later(self):
+        self.test_slow_upstream_loses_to_a_farther_one()
+        chosen = choose_many(self.chooser, self.pool, WARM + 60.0)
+        self.assertGreater(chosen["u0"] + chosen["u1"], CALLS * 0.5)
+
+    def test_new_upstream_gets_few_calls_at_first(self):
+        pool = make_pool("aa")
+        view = pool.get("u1")
+        view.first_seen = WARM
+        other = pool.get("u0")
+        for _ in range(4):
+            self.chooser.record_start(other, WARM)
+        early = choose_many(self.chooser, pool, WARM + 0.1)
+        late = choose_many(self.chooser, pool, WARM + 5.0)
+        self.assertEqual(early["u1"], 0)
+        self.assertEqual(late["u0"], 0)
+
+    def test_excluded_and_draining_upstreams_are_never_chosen(self):
+        self.report("u1", WARM, draining=True)
+        exclude = (self.pool.get("u0"), self.pool.get("u2"))
+        for policy in (None, Naive()):
+            chooser = make_chooser(policy)
+            chosen = choose_many(chooser, self.pool, WARM, exclude=exclude)
+            self.assertLessEqual(set(chosen), {"u3", "u4", "u5"})
+
+    def test_none_is_returned_when_all_are_excluded(self):
+        exclude = tuple(self.pool)
+        for policy in (None, Naive()):
+            chooser = make_chooser(policy)
+            self.assertIsNone(chooser.choose(self.pool, SHORT, WARM, exclude))
+        self.assertIsNone(self.chooser.choose(make_pool(""), SHORT, WARM, ()))
+
+    def test_removed_upstream_is_forgotten_while_calls_end(self):
+        view = self.pool.get("u0")
+        self.chooser.record_start(view, WARM)
+        self.pool.discard("u0")
+        load = make_load(in_flight=1)
+        self.chooser.record_end(view, Outcome.FAILED, 0.1, load, WARM, SHORT)
+        self.assertNotIn("u0", choose_many(self.chooser, self.pool, WARM))
+
+
+class EjectionTest(unittest.TestCase):
+    """Guards against calls that go on to an upstream that fails."""
+
+    def setUp(self):
+        self.chooser = make_chooser()
+        self.pool = make_pool("aaaa")
+        self.bad = self.pool.get("u0")
+
+    def eject(self, view, now):
+        end_calls(self.chooser, view, Outcome.FAILED, now, count=3)
+
+    def test_three_failures_in_a_row_eject(self):
+        self.eject(self.bad, WARM)
+        chosen = choose_many(self.chooser, self.pool, WARM + 0.9)
+        self.assertNotIn("u0", chosen)
+
+    def test_success_resets_the_count(self):
+        end_calls(self.chooser, self.bad, Outcome.FAILED, WARM, count=2)
+        end_calls(self.chooser, self.bad, Outcome.SUCCEEDED, WARM)
+        end_calls(self.chooser, self.bad, Outcome.FAILED, WARM, count=2)
+        self.assertEqual(self.bad.ejections, 0)
+
+    def test_refusals_do_not_eject(self):
+        end_calls(self.chooser, self.bad, Outcome.REFUSED, WARM, count=20)
+        self.assertEqual(self.bad.ejections, 0)
+
+    def test_never_more_than_half_are_ejected(self):
+        for view in self.pool:
+            self.eject(view, WARM)
+        self.assertEqual(self.pool.ejected, 2)
+        self.assertEqual(sum(1 for view in self.pool if view.ejections), 2)
+        self.assertIsNotNone(self.chooser.choose(self.pool, SHORT, WARM, ()))
+
+    def test_failing_upstream_kept_by_the_cap_is_tried_again(self):
+        for view in self.pool:
+            self.eject(view, WARM)
+        kept = {view.instance for view in self.pool if not view.ejections}
+        self.pool.get(min(kept)).consecutive_failures = 0
+        early = choose_many(self.chooser, self.pool, WARM + 0.5)
+        late = choose_many(self.chooser, self.pool, WARM + 1.0)
+        self.assertNotIn(max(kept), early)
+        self.assertIn(max(kept), late)
+
+    def test_one_trial_call_at_a_time_after_ejection(self):
+        self.eject(self.bad, WARM)
+        later = WARM + 1.0
+        self.assertIn("u0", choose_many(self.chooser, self.pool, later))
+        self.chooser.record_start(self.bad, later)
+        self.assertNotIn("u0", choose_many(self.chooser, self.pool, later))
+
+    def test_work_that_cannot_be_repeated_is_not_the_first_trial(self):
+        self.eject(self.bad, WARM)
+        chosen = choose_many(self.chooser, self.pool, WARM + 1.5, rule=LONG)
+        self.assertNotIn("u0", chosen)
+        chosen = choose_many(self.chooser, self.pool, WARM + 2.0, rule=LONG)
+        self.assertIn("u0", chosen)
+
+    def test_failed_trials_double_the_ejection_up_to_its_limit(self):
+        self.eject(self.bad, WARM)
+        durations = []
+        for _ in range(7):
+            now = self.bad.ejected_until
+            end_calls(self.chooser, self.bad, Outcome.FAILED, now)
+            durations.append(self.bad.ejected_until - now)
+        self.assertEqual(durations, [2.0, 4.0, 8.0, 16.0, 30.0, 30.0, 30.0])
+
+    def test_good_trial_returns_the_upstream_with_a_slow_start(self):
+        self.eject(self.bad, WARM)
+        end_calls(self.chooser, self.bad, Outcome.SUCCEEDED, WARM + 1.0)
+        self.assertEqual((self.bad.ejections, self.pool.ejected), (0, 0))
+        self.assertEqual(self.bad.first_seen, WARM + 1.0)
+
+    def test_cancelled_trial_lets_the_next_one_start(self):
+        self.eject(self.bad, WARM)
+        end_calls(self.chooser, self.bad, Outcome.CANCELLED, WARM + 1.0)
+        self.assertTrue(self.bad.usable(WARM + 1.0))
+        self.assertEqual(self.bad.ejections, 1)
+
+    def test_call_from_before_the_ejection_does_not_end_it(self):
+        self.chooser.record_start(self.bad, WARM)
+        self.eject(self.bad, WARM)
+        self.chooser.record_end(self.bad, Outcome.SUCCEEDED, 0.1, None, WARM, SHORT)
+        self.assertEqual(self.bad.ejections, 1)
+
+    def test_removal_of_an_ejected_upstream_frees_the_cap(self):
+        self.eject(self.bad, WARM)
+        self.pool.discard("u0")
+        self.assertEqual(self.pool.ejected, 0)
