demo: ports unique over a fleet, targets spread evenly over domains

A part with an offset below the stored one is a repeat and not refused, so the demo now sends one beyond it. An operator's settled answer has a Content-Length.

--- a/goldcresthoist/operators/ledger_operations.py
+++ b/goldcresthoist/operators/ledger_operations.py
@@ -102,8 +102,11 @@
     def _answer(self, settlement):
         if settlement.outcome != "ran":
             return None
-        headers = ((b"content-type", b"text/plain; charset=utf-8"),)
         body = settlement.body.encode()
+        headers = (
+            (b"content-type", b"text/plain; charset=utf-8"),
+            (b"content-length", b"%d" % len(body)),
+        )
         return self.encode_answer(settlement.status, headers, body)
 
     async def _page(self, service, after):
--- a/goldcresthoist/operators/tests/test_fleet_services.py
+++ b/goldcresthoist/operators/tests/test_fleet_services.py
@@ -1,6 +1,7 @@
 """Tests of the services behind the pages, over fakes of the platform."""
 
 import asyncio
+from unittest import mock
 
 from goldcresthoist.config import (
     ServiceConfiguration,
@@ -112,8 +113,13 @@
         self.assertEqual(version, 2)
         self.assertEqual(lines, ("service s2: removed", "service s1: added"))
         self.assertEqual((await self.second.show("t")).author, "bo")
+        await self.first.apply(team("t", "s2", slots=16), 2, "cy")
+        limit = "goldcresthoist.operators.fleet_configuration.HISTORY_ENTRIES"
+        with mock.patch(limit, 2):
+            newest = await self.second.history("t")
+        self.assertEqual([entry.version for entry in newest], [3, 2])
         authors = [entry.author for entry in await self.second.history("t")]
-        self.assertEqual(authors, ["bo", "ann"])
+        self.assertEqual(authors, ["cy", "bo", "ann"])
 
 
 class LedgerOperationsTest(VirtualTimeTestCase):
@@ -171,6 +177,8 @@
     async def test_store_outage_and_missing_operation(self):
         with self.assertRaises(NotFound):
             await self.operations.show("ledger", "none")
+        with self.assertRaises(InvalidRequest):
+            await self.operations.show("ledger", "k" * 2000)
         self.table.down = True
         with self.assertRaises(Unavailable):
             await self.operations.list_unknown("ledger")
--- a/goldcresthoist/tests/builders.py
+++ b/goldcresthoist/tests/builders.py
@@ -30,6 +30,7 @@
 STOP_TIMEOUT_S = 60.0
 POLL_S = 0.05
 _PORTS = range(12_000, 32_000)
+_given = set()
 
 
 def free_ports(count):
@@ -37,14 +38,15 @@
 
     They lie below the range from which the system takes ports for outgoing
     connections, so that none is taken before the process that needs it has started.
-    All sockets stay open until every port is found, so that no port occurs twice.
+    A port is given out once only in a process.
     """
     ports = []
     with ExitStack() as sockets:
         for port in random.sample(_PORTS, len(_PORTS)):
             if len(ports) == count:
+                _given.update(ports)
                 return ports
-            if _bind(port, sockets):
+            if port not in _given and _bind(port, sockets):
                 ports.append(port)
     raise OSError(f"no {count} free ports on {LOOPBACK}")
 
--- a/goldcresthoist/tests/demo_calls.py
+++ b/goldcresthoist/tests/demo_calls.py
@@ -110,8 +110,9 @@
     answer = recorder.timed(call, second, "HEAD", path, None, key)
     offset = int(answer.headers.get("goldcrest-upload-offset", -1))
     recorder.expect(offset == FIRST_PART_BYTES, f"offset {offset}: {_short(answer)}")
-    wrong = recorder.timed(call, second, "PATCH", path, b"x", key | _offset(5))
-    _expect_refusal(recorder, wrong, 409, "upload-offset")
+    gap = key | _offset(FIRST_PART_BYTES + 5)
+    answer = recorder.timed(call, second, "PATCH", path, b"x", gap)
+    _expect_refusal(recorder, answer, 409, "upload-offset")
     rest = body[max(offset, 0) :]
     answer = recorder.timed(call, second, "PATCH", path, rest, key | _offset(offset))
     whole = answer.status == 200 and answer.document()["received"] == len(body)
--- a/goldcresthoist/tests/fleet.py
+++ b/goldcresthoist/tests/fleet.py
@@ -4,6 +4,7 @@
 """
 
 import http.client
+import itertools
 import json
 import subprocess
 import sys
@@ -62,8 +63,7 @@
 class Target:
     """One upstream with the daemon beside it."""
 
-    def __init__(self, fleet, service, number):
-        domain = FAILURE_DOMAINS[number % len(FAILURE_DOMAINS)]
+    def __init__(self, fleet, service, number, domain):
         self.fleet = fleet
         self.name = f"{service}-{number + 1}"
         self.service = service
@@ -139,8 +139,9 @@
         self.program = program
         self.processes = []
         self.table_port, self.objects_port = free_ports(2)
+        domains = itertools.cycle(FAILURE_DOMAINS)
         self.targets = [
-            Target(self, service, number)
+            Target(self, service, number, next(domains))
             for service, count in targets.items()
             for number in range(count)
         ]
