--- a/goldcresthoist/daemon/assembly.py
+++ b/goldcresthoist/daemon/assembly.py
@@ -3,18 +3,20 @@
 import asyncio
 from time import monotonic
 
-from goldcresthoist.callers import CallerServer
-from goldcresthoist.config import ConfigurationHolder, split_address
-from goldcresthoist.config.store import ConfigurationStore
-from goldcresthoist.control import ControlPlane, CrashSuspect
-from goldcresthoist.daemon.bootstrap import Announcements, ConfigurationLoader
-from goldcresthoist.daemon.interim import (
+from goldcresthoist.balance import (
     Admission,
     Chooser,
     CrashSuspects,
     RetryBudget,
+    SuspectRecord,
     policy_named,
 )
+from goldcresthoist.balance.suspects import EXPIRY_S
+from goldcresthoist.callers import CallerServer
+from goldcresthoist.config import ConfigurationHolder, split_address
+from goldcresthoist.config.store import ConfigurationStore
+from goldcresthoist.control import ControlPlane, CrashSuspect
+from goldcresthoist.daemon.bootstrap import Announcements, ConfigurationLoader
 from goldcresthoist.daemon.operation_paths import OperationPaths
 from goldcresthoist.daemon.owners import OwnerCheck, owner_name
 from goldcresthoist.daemon.records import OperationRecords
@@ -155,9 +157,13 @@
                     suspects = await peer.crash_suspects()
             except Exception:  # noqa: BLE001
                 continue
-            now = monotonic()
-            for item in suspects:
-                self.suspects.learn(item.fingerprint, item.count, now)
+            self.suspects.load(
+                [
+                    SuspectRecord(i.fingerprint, i.count, EXPIRY_S - i.age_s)
+                    for i in suspects
+                ],
+                monotonic(),
+            )
             return
 
     async def close(self):
@@ -175,10 +181,9 @@
         self.counters.close()
 
     def _export_suspects(self):
-        now = monotonic()
         return tuple(
-            CrashSuspect(fingerprint, count, age_s)
-            for fingerprint, count, age_s in self.suspects.export(now)
+            CrashSuspect(item.fingerprint, item.count, EXPIRY_S - item.time_left_s)
+            for item in self.suspects.export(monotonic())
         )
 
     def _member_gauge(self):
--- a/goldcresthoist/daemon/serving.py
+++ b/goldcresthoist/daemon/serving.py
@@ -5,8 +5,8 @@
 
 from loguru import logger
 
+from goldcresthoist.balance import AdmissionRefused, Draining, Saturated
 from goldcresthoist.config.model import AtMostOnce, Upload
-from goldcresthoist.daemon.interim import AdmissionRefused, Draining, Saturated
 from goldcresthoist.daemon.kinds import KEYED
 from goldcresthoist.daemon.once import OnceRunner
 from goldcresthoist.daemon.upstream_call import UpstreamCall
