--- a/goldcresthoist/daemon/assembly.py
+++ b/goldcresthoist/daemon/assembly.py
@@ -17,6 +17,7 @@
 from goldcresthoist.config.store import ConfigurationStore
 from goldcresthoist.control import ControlPlane, CrashSuspect
 from goldcresthoist.daemon.bootstrap import Announcements, ConfigurationLoader
+from goldcresthoist.daemon.metrics import export_metrics
 from goldcresthoist.daemon.operation_paths import OperationPaths
 from goldcresthoist.daemon.owners import OwnerCheck, owner_name
 from goldcresthoist.daemon.records import OperationRecords
@@ -75,7 +76,10 @@
         self.ledger = OperationLedger(self.table, self.objects)
         self.receiver = UploadReceiver(self.ledger)
         self.records = OperationRecords(
-            self.ledger, owner_name(own.instance, own.incarnation), self.is_gone
+            self.ledger,
+            owner_name(own.instance, own.incarnation),
+            self.is_gone,
+            self.counters,
         )
 
     def _build_calls(self):
@@ -127,10 +131,7 @@
         self.pages = OperatorServer(
             self.key, self.status, self.changes, operations, self.counters
         )
-        self.counters.gauge("in_flight", lambda: self.server.load_report().in_flight)
-        self.counters.gauge("queued", lambda: self.server.load_report().queued)
-        self.counters.gauge("ready", lambda: int(self.router.ready))
-        self.counters.gauge("members", self._member_gauge)
+        export_metrics(self)
 
     async def listen(self):
         """Open all sockets.
@@ -185,7 +186,3 @@
             CrashSuspect(item.fingerprint, item.count, EXPIRY_S - item.time_left_s)
             for item in self.suspects.export(monotonic())
         )
-
-    def _member_gauge(self):
-        for state, number in self.status.status().members.items():
-            yield {"state": state}, number
--- a/goldcresthoist/daemon/records.py
+++ b/goldcresthoist/daemon/records.py
@@ -2,6 +2,7 @@
 
 import asyncio
 
+from goldcresthoist.daemon.ledger import OperationStarted
 from goldcresthoist.daemon.verdicts import encode_answer, verdict_of
 
 __all__ = ["OperationRecords"]
@@ -21,9 +22,11 @@
         Names this process.
     is_gone : callable
         Tells whether the process of an owner has certainly ended.
+    counters : Counters
     """
 
-    def __init__(self, ledger, owner, is_gone):
+    def __init__(self, ledger, owner, is_gone, counters):
+        self.counters = counters
         self.ledger = ledger
         self.owner = owner
         self.is_gone = is_gone
@@ -34,7 +37,10 @@
         result = await self.ledger.start(
             service, key, digest.hex(), self.owner, deadline
         )
-        return verdict_of(result, self.is_gone)
+        verdict = verdict_of(result, self.is_gone)
+        if isinstance(verdict, OperationStarted):
+            self.counters.add("operations_started", service=service)
+        return verdict
 
     async def finish(self, token, status, headers, body):
         """Record the answer. ``body`` is None when it is too large to keep."""
@@ -43,6 +49,7 @@
 
     async def finish_unknown(self, token):
         """Record that the upstream was called and gave no complete answer."""
+        self.counters.add("operations_unknown", service=token.service)
         note = "no complete answer of the upstream"
         await self.ledger.mark_unknown(token, note, _deadline(END_TIMEOUT_S))
 
--- a/goldcresthoist/telemetry/_exposition.py
+++ b/goldcresthoist/telemetry/_exposition.py
@@ -46,15 +46,14 @@
 
     def add_gauge(self, name, description, callback):
         """Expose a callback that returns a number or ``(labels, number)`` pairs."""
-
-        def observe(_options):
-            result = callback()
-            if isinstance(result, (int, float)):
-                return [Observation(result)]
-            return [Observation(number, labels) for labels, number in result]
-
         self.meter.create_observable_gauge(
-            name, callbacks=[observe], description=description
+            name, callbacks=[_observer(callback)], description=description
+        )
+
+    def add_observed_counter(self, name, description, callback):
+        """Expose a callback like that of `add_gauge` whose numbers only grow."""
+        self.meter.create_observable_counter(
+            name, callbacks=[_observer(callback)], description=description
         )
 
     def add_histogram(self, name, description, series):
@@ -70,6 +69,16 @@
         self.provider.shutdown()
 
 
+def _observer(callback):
+    def observe(_options):
+        result = callback()
+        if isinstance(result, (int, float)):
+            return [Observation(result)]
+        return [Observation(number, labels) for labels, number in result]
+
+    return observe
+
+
 class _HistogramCollector:
     def __init__(self):
         self.families = []
--- a/goldcresthoist/telemetry/counters.py
+++ b/goldcresthoist/telemetry/counters.py
@@ -59,6 +59,13 @@
         """
         self._exposition.add_gauge(name, METRICS.get(name, ""), callback)
 
+    def count_from(self, name, callback):
+        """Expose as a counter the number that another part of the daemon counts.
+
+        The callback returns what that of `gauge` returns; it must never go down.
+        """
+        self._exposition.add_observed_counter(name, METRICS.get(name, ""), callback)
+
     def value(self, name, **labels):
         """Return the value of one counter series, 0 when it was never added to."""
         cell = self._counters.get(name, {}).get(_series_key(name, labels))
--- a/goldcresthoist/tests/test_documents.py
+++ b/goldcresthoist/tests/test_documents.py
@@ -7,6 +7,7 @@
 from goldcresthoist.telemetry import METRICS, REFUSAL_CODES
 
 ROOT = Path(__file__).resolve().parents[2]
+COUNTED = re.compile(r"counters\.(?:add|observe|gauge|count_from)\(\s*\"(\w+)\"")
 LINK = re.compile(r"\]\(([^)#]+)\)")
 
 
@@ -17,6 +18,14 @@
         for name in (*REFUSAL_CODES, *METRICS):
             self.assertIn(f"`{name}`", page)
 
+    def test_every_counted_name_is_in_the_catalogue(self):
+        """Guards against metrics without a description and the reverse."""
+        counted = set()
+        for path in (ROOT / "goldcresthoist").rglob("*.py"):
+            if "tests" not in path.parts:
+                counted.update(COUNTED.findall(path.read_text()))
+        self.assertEqual(counted, set(METRICS))
+
     def test_links_of_the_readme_exist(self):
         """Guards against links to pages that were renamed."""
         links = set(LINK.findall((ROOT / "README.md").read_text()))
