Never hedge a crash suspect; give each test process its own loopback address

The log format failed for events of modules that use loguru directly. Two fleets, or two targets of one fleet, could be given the same port. Change: Open carries a hedge flag and a daemon refuses a hedge of a suspect; the log patcher sets the severity; ports are never given twice and each process uses its own 127.x.y.1.

--- a/goldcresthoist/daemon/attempt.py
+++ b/goldcresthoist/daemon/attempt.py
@@ -17,6 +17,7 @@
         "call",
         "chooser",
         "ended",
+        "hedge",
         "latency_s",
         "local",
         "routed",
@@ -25,12 +26,13 @@
         "view",
     )
 
-    def __init__(self, routed, view, peer):
+    def __init__(self, routed, view, peer, hedge=False):
         router = routed.router
         self.routed = routed
         self.view = view
         self.chooser = router.chooser
         self.local = peer is None
+        self.hedge = hedge
         self.sender = None
         self.ended = False
         self.latency_s = 0.0
@@ -87,6 +89,7 @@
             routed.crash_count,
             routed.prefix,
             routed.body_complete,
+            self.hedge,
         )
 
     async def _send_rest(self):
--- a/goldcresthoist/daemon/routed_call.py
+++ b/goldcresthoist/daemon/routed_call.py
@@ -111,7 +111,7 @@
             attempt = self._open_attempt()
         return attempt
 
-    def _open_attempt(self):
+    def _open_attempt(self, hedge=False):
         """Send the request to the upstream that is chosen; None when there is none."""
         while True:
             choice = self.route.choose(self.rule, monotonic(), self.exclude)
@@ -120,7 +120,7 @@
             view, peer = choice
             self.exclude = (*self.exclude, view)
             try:
-                attempt = Attempt(self, view, peer)
+                attempt = Attempt(self, view, peer, hedge)
             except LinkClosed:
                 # Nothing was sent.
                 continue
@@ -153,7 +153,7 @@
     def _open_hedge(self):
         if len(self.attempts) > 1 or not self.route.budget.try_hedge():
             return None
-        hedge = self._open_attempt()
+        hedge = self._open_attempt(hedge=True)
         if hedge is not None:
             self.router.counters.add("hedges", service=self.route.name)
         return hedge
--- a/goldcresthoist/daemon/serving.py
+++ b/goldcresthoist/daemon/serving.py
@@ -128,6 +128,10 @@
         if self.suspects.refused(message.fingerprint, now, message.crash_count):
             self._refuse(call, "crash-suspect", "the request crashed two upstreams")
             return
+        if message.hedge and self.suspects.count(message.fingerprint, now):
+            # Two copies of a suspect could end two upstreams before either is counted.
+            self._refuse(call, "saturated", "a crash suspect is not hedged")
+            return
         try:
             slot = self.admission.acquire_nowait(rule, deadline, now)
             if slot is None:
--- a/goldcresthoist/links/frames.py
+++ b/goldcresthoist/links/frames.py
@@ -96,6 +96,7 @@
     crash_count: int
     body: bytes
     end: bool
+    hedge: bool = False
 
 
 class Body(msgspec.Struct, frozen=True, array_like=True, tag=5):
--- a/goldcresthoist/telemetry/log.py
+++ b/goldcresthoist/telemetry/log.py
@@ -37,6 +37,7 @@
 def configure_logging(level="INFO", stream=None):
     """Write events of ``level`` and above to ``stream``, by default to stderr."""
     logger.remove()
+    logger.configure(patcher=_name_severity)
     logger.add(
         stream or sys.stderr,
         level=level,
@@ -68,6 +69,10 @@
     logger.bind(severity=level).log(name, "{}", " ".join(pairs))
 
 
+def _name_severity(record):
+    record["extra"].setdefault("severity", record["level"].name.lower())
+
+
 def _format(key, value):
     if key.lower() in SECRET_KEYS:
         return REDACTED
--- a/goldcresthoist/tests/builders.py
+++ b/goldcresthoist/tests/builders.py
@@ -23,13 +23,16 @@
 ]
 
 ROOT = Path(__file__).resolve().parents[2]
-LOOPBACK = "127.0.0.1"
+# An address of the loopback network for this process alone, so that test processes
+# that run at the same time cannot take each other's ports.
+LOOPBACK = f"127.{random.randint(1, 254)}.{random.randint(0, 255)}.1"
 SHARED_KEY = bytes(range(32)).hex()
 # A busy machine may take long to start a process; only a broken one takes longer.
 START_TIMEOUT_S = 60.0
 STOP_TIMEOUT_S = 60.0
 POLL_S = 0.05
 _PORTS = range(12_000, 32_000)
+_given_ports = set()
 
 
 def free_ports(count):
@@ -37,15 +40,16 @@
 
     They lie below the range from which the system takes ports for outgoing
     connections, so that none is taken before the process that needs it has started.
-    All sockets stay open until every port is found, so that no port occurs twice.
+    No port is given twice by this process.
     """
     ports = []
     with ExitStack() as sockets:
         for port in random.sample(_PORTS, len(_PORTS)):
             if len(ports) == count:
                 return ports
-            if _bind(port, sockets):
+            if port not in _given_ports and _bind(port, sockets):
                 ports.append(port)
+                _given_ports.add(port)
     raise OSError(f"no {count} free ports on {LOOPBACK}")
 
 
--- a/goldcresthoist/tests/fleet.py
+++ b/goldcresthoist/tests/fleet.py
@@ -86,7 +86,7 @@
     def start_upstream(self):
         """Start the upstream stand-in."""
         port = self.upstream_address.rpartition(":")[2]
-        arguments = [f"{STANDINS}.upstream", "--port", port, "--service-ms", "5"]
+        arguments = [f"{STANDINS}.upstream", *_listen(port), "--service-ms", "5"]
         self.upstream = self.fleet.start(f"{self.name}-upstream", arguments)
 
     def start_daemon(self):
@@ -164,7 +164,7 @@
             ("table", self.table_port),
             ("objects", self.objects_port),
         ):
-            self.start(module, [f"{STANDINS}.{module}", "--port", str(port)])
+            self.start(module, [f"{STANDINS}.{module}", *_listen(port)])
             wait_until(lambda port=port: _answers(port), f"stand-in {module} answers")
         for target in self.targets:
             target.start_upstream()
@@ -234,6 +234,10 @@
             raise RuntimeError(f"{process.name} ended: {process.log_tail()}")
 
 
+def _listen(port):
+    return ["--host", LOOPBACK, "--port", str(port)]
+
+
 def _answers(port):
     try:
         return call(f"{LOOPBACK}:{port}", "GET", "/-/calls")
