callpath: retries, hedges, crash reports and draining with goldcresthoist.balance

Cause: the thin path chose at random and without budgets, and nothing showed that failures of upstreams and daemons are covered.

Change: goldcresthoist.balance replaces daemon/interim.py. A suspect request waits for its turn at the upstream's daemon before it takes a slot, so that bystanders of a crash are answered instead of refused. An answer that broke off before its head was relayed counts as a failure and may be retried.

--- a/goldcresthoist/callers/request.py
+++ b/goldcresthoist/callers/request.py
@@ -4,6 +4,7 @@
 
 import httptools
 
+from goldcresthoist.callers._head_fields import SPECIAL_FIELDS, read_special_fields
 from goldcresthoist.callers.errors import BadRequest, HeadersTooLarge
 from goldcresthoist.http_fields import MAX_HEADER_BYTES
 from goldcresthoist.streams import BodyStream
@@ -12,25 +13,29 @@
 
 # Visible ASCII without "#", which has no place in a request target.
 _SAFE_TARGET = re.compile(rb"/[\x21\x22\x24-\x7e]*")
-_FRAMING = frozenset((b"content-length", b"transfer-encoding", b"host", b"expect"))
 _ABSOLUTE = re.compile(rb"https?://[^/?#]*", re.IGNORECASE)
 
 
 class CallerRequest:
     """One request: its head, and its body as a stream.
 
-    Header names are lower case. ``content_length`` is None for a chunked body.
+    Header names are lower case. ``headers`` are those that are forwarded.
+    ``content_length`` is None for a chunked body, ``deadline_s`` and ``request_id``
+    when the caller gave none.
     """
 
     __slots__ = (
         "body",
         "chunked",
         "content_length",
+        "deadline_s",
         "expects_continue",
         "headers",
         "http10",
         "keep_alive",
+        "key",
         "method",
+        "request_id",
         "target",
     )
 
@@ -43,6 +48,9 @@
         self.expects_continue = False
         self.keep_alive = True
         self.http10 = False
+        self.deadline_s = None
+        self.key = ""
+        self.request_id = None
         self.body = None
 
 
@@ -58,7 +66,7 @@
         self.on_consumed = on_consumed
         self.parser = httptools.HttpRequestParser(self)
         self.request = None
-        self.framing = []
+        self.special = []
         self.url = b""
         self.head_bytes = 0
         self.fed_bytes = 0
@@ -90,7 +98,7 @@
     def on_message_begin(self):
         """Start a request."""
         self.request = CallerRequest()
-        self.framing = []
+        self.special = []
         self.url = b""
         self.head_bytes = 0
         self.fed_bytes = 0
@@ -107,9 +115,10 @@
             value = b""
         name = name.lower()
         self.head_bytes += len(name) + len(value) + 4
-        self.request.headers.append((name, value))
-        if name in _FRAMING:
-            self.framing.append((name, value))
+        if name in SPECIAL_FIELDS:
+            self.special.append((name, value))
+        else:
+            self.request.headers.append((name, value))
 
     def on_headers_complete(self):
         """Check the head and hand the request over."""
@@ -123,7 +132,7 @@
         request.target = _origin_form(self.url)
         request.http10 = self.parser.get_http_version() != "1.1"
         request.keep_alive = self.parser.should_keep_alive()
-        _read_framing(request, self.framing)
+        read_special_fields(request, self.special)
         request.body = BodyStream(self.on_consumed)
         self.on_request(request)
 
@@ -158,37 +167,3 @@
     if _SAFE_TARGET.fullmatch(url) is None:
         raise BadRequest("the request target has bytes that are not allowed")
     return url.decode("ascii")
-
-
-def _read_framing(request, framing):
-    lengths = []
-    hosts = 0
-    for name, value in framing:
-        if name == b"content-length":
-            lengths.append(value)
-        elif name == b"transfer-encoding":
-            if value.strip().lower() != b"chunked" or request.chunked:
-                raise BadRequest("the only transfer encoding allowed is chunked")
-            request.chunked = True
-        elif name == b"host":
-            hosts += 1
-        elif name == b"expect":
-            if value.lower() != b"100-continue":
-                raise BadRequest("the only expectation allowed is 100-continue")
-            request.expects_continue = True
-    _check_framing(request, lengths, hosts)
-
-
-def _check_framing(request, lengths, hosts):
-    if hosts > 1 or (hosts == 0 and not request.http10):
-        raise BadRequest("exactly one Host header is required")
-    if request.chunked:
-        if lengths:
-            raise BadRequest("Content-Length and Transfer-Encoding conflict")
-        if request.http10:
-            raise BadRequest("HTTP/1.0 has no transfer encoding")
-        request.content_length = None
-    elif lengths:
-        if len(lengths) > 1 or not lengths[0].isdigit():
-            raise BadRequest("Content-Length must be one whole number")
-        request.content_length = int(lengths[0])
--- a/goldcresthoist/daemon/attempt.py
+++ b/goldcresthoist/daemon/attempt.py
@@ -2,10 +2,10 @@
 
 from time import monotonic
 
+from goldcresthoist.balance import Outcome
 from goldcresthoist.callers import CallerError
-from goldcresthoist.daemon.interim import Outcome
 from goldcresthoist.links import CallFailed, LinkClosed, LinkError, LocalCall
-from goldcresthoist.links.frames import Failed, FailureKind, Open
+from goldcresthoist.links.frames import Failed, FailureKind, Head, Open
 
 __all__ = ["Attempt"]
 
@@ -47,9 +47,13 @@
     async def outcome(self, timeout_s=None):
         """Return `Head`, `Refuse` or `Failed`; None when there is none in time."""
         try:
-            outcome = await self.call.outcome(timeout_s)
+            outcome = await self.call.result.wait(timeout_s)
+            error = self.call.body.error
+            if error is not None and type(outcome) is Head:
+                # The answer broke off before its head was looked at.
+                outcome = _failure_from(error)
         except LinkClosed as exc:
-            outcome = Failed(0, FailureKind.BROKEN, str(exc), None)
+            outcome = _failure_from(exc)
         self.latency_s = monotonic() - self.started_at
         return outcome
 
@@ -106,3 +110,9 @@
         except (LinkError, CallFailed):
             # The outcome of the call tells the same.
             return
+
+
+def _failure_from(error):
+    if isinstance(error, CallFailed):
+        return error.failure
+    return Failed(0, FailureKind.BROKEN, str(error), None)
--- a/goldcresthoist/daemon/once.py
+++ b/goldcresthoist/daemon/once.py
@@ -30,7 +30,8 @@
         """Run one call with a slot in hand; return whether it ended well."""
         # The connection comes first: an upstream that cannot be reached must not
         # leave a started operation behind.
-        if not await upstream_call.connect():
+        upstream_call.connection = self.upstream.acquire_idle()
+        if upstream_call.connection is None and not await upstream_call.connect():
             return False
         message = upstream_call.call.open
         try:
@@ -54,7 +55,8 @@
         full = monotonic() + upstream_call.rule.longest_s
         upstream_call.deadline = max(upstream_call.deadline, full)
         try:
-            answer = await upstream_call.send()
+            upstream_call.send()
+            answer = await upstream_call.connection.head()
             body = await _read_whole(answer)
             if body is None:
                 await upstream_call.relay(answer)
--- a/goldcresthoist/daemon/routed_call.py
+++ b/goldcresthoist/daemon/routed_call.py
@@ -3,21 +3,24 @@
 import asyncio
 from time import monotonic
 
+from goldcresthoist.balance import Outcome
 from goldcresthoist.callers import Refusal
 from goldcresthoist.config.model import Read
 from goldcresthoist.daemon.answers import (
+    REFUSED_CRASHES,
     RETRIABLE_CODES,
     refusal_after_failure,
     refusal_from_frame,
 )
 from goldcresthoist.daemon.attempt import Attempt
-from goldcresthoist.daemon.interim import Outcome
+from goldcresthoist.daemon.call_head import fingerprint
 from goldcresthoist.daemon.kinds import REPEATABLE
 from goldcresthoist.links import CallFailed, LinkClosed, LinkError
 from goldcresthoist.links.frames import Failed, FailureKind, Head, Refuse
 
 __all__ = ["RoutedCall"]
 
+PREFIX_BYTES = 64 * 1024
 LINK_WAIT_S = 1.0
 SUSPECT_ACK_S = 0.2
 # Statuses of an upstream that fails rather than answers.
@@ -48,20 +51,21 @@
         "target",
     )
 
-    def __init__(self, router, route, rule, request, exchange, deadline):
+    def __init__(self, router, route, rule, request, exchange, target):
         self.router = router
         self.route = route
         self.rule = rule
         self.request = request
         self.exchange = exchange
-        self.deadline = deadline
+        self.deadline = monotonic() + (request.deadline_s or rule.longest_s)
         self.loop = router.loop
-        self.target = ""
-        self.headers = ()
-        self.key = ""
-        self.fingerprint = b""
+        self.target = target
+        request_id = request.request_id or router.new_request_id()
+        self.headers = (*request.headers, (b"goldcrest-request-id", request_id))
+        self.key = request.key
         self.prefix = b""
-        self.body_complete = False
+        self.body_complete = request.body.exhausted
+        self.fingerprint = self._fingerprint()
         self.body_started = False
         self.crash_count = 0
         self.exclude = ()
@@ -69,6 +73,15 @@
         # Whether an upstream may have run the request.
         self.started = False
 
+    async def read_prefix(self):
+        """Take the first bytes of the body, which are kept for retries."""
+        self.exchange.allow_body()
+        body = self.request.body
+        async with asyncio.timeout_at(self.deadline):
+            self.prefix = await body.read_up_to(PREFIX_BYTES)
+        self.body_complete = body.exhausted
+        self.fingerprint = self._fingerprint()
+
     async def run(self):
         """Answer the request."""
         self.route.budget.record_call()
@@ -102,6 +115,16 @@
             refusal = Refusal("deadline-exceeded", message)
         self.router.answer(self.exchange, refusal)
 
+    def _fingerprint(self):
+        request = self.request
+        return fingerprint(
+            self.route.name,
+            request.method,
+            self.target,
+            request.content_length,
+            self.prefix,
+        )
+
     async def _first_attempt(self):
         attempt = self._open_attempt()
         while attempt is None:
@@ -212,7 +235,7 @@
                 return code if code in RETRIABLE_CODES else None
             case Failed(kind=FailureKind.TIMED_OUT):
                 return None
-            case Failed(kind=kind) if repeatable and self.crash_count < 2:
+            case Failed(kind=kind) if repeatable and self.crash_count < REFUSED_CRASHES:
                 return kind
             case Head() if repeatable:
                 return "failed-status"
@@ -256,7 +279,9 @@
             case Refuse():
                 self.router.answer(self.exchange, refusal_from_frame(outcome))
             case Failed():
-                refusal = refusal_after_failure(self.rule.kind, outcome)
+                refusal = refusal_after_failure(
+                    self.rule.kind, outcome, self.crash_count
+                )
                 self.router.answer(self.exchange, refusal)
 
     async def _relay(self, attempt, head):
--- a/goldcresthoist/daemon/routing.py
+++ b/goldcresthoist/daemon/routing.py
@@ -3,19 +3,16 @@
 import asyncio
 import itertools
 import os
-from time import monotonic
 
-from goldcresthoist.callers import BadRequest, CallerError, Refusal
-from goldcresthoist.config.model import Read
-from goldcresthoist.daemon.call_head import fingerprint, read_head, split_target
+from goldcresthoist.callers import CallerError, Refusal
+from goldcresthoist.daemon.call_head import find_rule, split_target
 from goldcresthoist.daemon.kinds import KEYED
 from goldcresthoist.daemon.routed_call import RoutedCall
 from goldcresthoist.daemon.routes import ServiceRoute
 
 __all__ = ["CallRouter"]
 
-PREFIX_BYTES = 64 * 1024
-RESERVED_PREFIX = "/-/"
+RESERVED_PART = "/-/"
 
 
 class CallRouter:
@@ -40,8 +37,7 @@
     counters
         Has ``add(name, amount=1, **labels)``.
     reserved : coroutine function, optional
-        ``reserved(service, request, exchange)`` answers the paths below
-        ``/<service>/-/``.
+        ``reserved(request, exchange)`` answers the paths below ``/<service>/-/``.
     """
 
     def __init__(
@@ -76,7 +72,17 @@
     async def handle(self, request, exchange):
         """Answer one request of a caller."""
         try:
-            await self._route(request, exchange)
+            if self.reserved is not None and RESERVED_PART in request.target:
+                await self.reserved(request, exchange)
+                return
+            call = self._prepare(request, exchange)
+            if call is None:
+                return
+            if not request.body.exhausted:
+                await call.read_prefix()
+            await call.run()
+        except TimeoutError:
+            call.on_deadline()
         except CallerError as exc:
             if exchange.started:
                 exchange.abort()
@@ -97,77 +103,24 @@
         """Return an identifier that is unique over all daemons."""
         return self.request_prefix + b"%x" % next(self.request_numbers)
 
-    async def _route(self, request, exchange):
+    def _prepare(self, request, exchange):
+        """Return the call for a request, or None when the request is refused."""
         service, target = split_target(request.target)
         if not self.ready:
             message = "the daemon has no configuration yet"
-            self.refuse(exchange, "not-ready", message, 1000)
-            return
+            return self.refuse(exchange, "not-ready", message, 1000)
         configuration = self.configurations.service(service)
         if configuration is None:
-            self.refuse(exchange, "unknown-service", f"no service {service!r}")
-            return
-        if target.startswith(RESERVED_PREFIX) and self.reserved is not None:
-            await self.reserved(service, request, exchange)
-            return
-        rule = _find_rule(configuration, request.method, target)
+            return self.refuse(exchange, "unknown-service", f"no service {service!r}")
+        rule = find_rule(configuration, request.method, target)
         if rule is None:
             message = f"no work of {service} for {request.method} {target}"
-            self.refuse(exchange, "unknown-work", message)
-            return
-        head = read_head(request, self.new_request_id)
-        if isinstance(rule.kind, KEYED) and not head.key:
+            return self.refuse(exchange, "unknown-work", message)
+        if not request.key and isinstance(rule.kind, KEYED):
             message = f"work {rule.name} needs an Idempotency-Key header"
-            self.refuse(exchange, "key-required", message)
-            return
-        route = self._route_to(service, configuration)
-        await self._run(request, exchange, route, rule, head, target)
-
-    async def _run(self, request, exchange, route, rule, head, target):
-        deadline = monotonic() + (head.deadline_s or rule.longest_s)
-        call = RoutedCall(self, route, rule, request, exchange, deadline)
-        call.target = target
-        call.headers = head.headers
-        call.key = head.key
-        try:
-            await self._read_prefix(call)
-            await call.run()
-        except TimeoutError:
-            call.on_deadline()
-
-    async def _read_prefix(self, call):
-        request = call.request
-        if request.body.exhausted:
-            call.body_complete = True
-        else:
-            call.exchange.allow_body()
-            async with asyncio.timeout_at(call.deadline):
-                call.prefix = await request.body.read_up_to(PREFIX_BYTES)
-            call.body_complete = request.body.exhausted
-        call.fingerprint = fingerprint(
-            call.route.name,
-            request.method,
-            call.target,
-            request.content_length,
-            call.prefix,
-        )
-
-    def _route_to(self, service, configuration):
+            return self.refuse(exchange, "key-required", message)
         route = self.routes.get(service)
         if route is None:
             route = self.routes[service] = ServiceRoute(service, self)
         route.apply(configuration)
-        return route
-
-
-def _find_rule(configuration, method, target):
-    path = target.partition("?")[0]
-    if ".." in path:
-        # Prefixes of work must not be left by a path that climbs.
-        raise BadRequest("the path must not contain '..'")
-    rule = configuration.rule_for(method, path)
-    if rule is None and method == "HEAD":
-        rule = configuration.rule_for("GET", path)
-        if rule is not None and not isinstance(rule.kind, Read):
-            rule = None
-    return rule
+        return RoutedCall(self, route, rule, request, exchange, target)
--- a/goldcresthoist/daemon/serving.py
+++ b/goldcresthoist/daemon/serving.py
@@ -5,7 +5,7 @@
 
 from loguru import logger
 
-from goldcresthoist.daemon.interim import AdmissionRefused, Draining, Saturated
+from goldcresthoist.balance import AdmissionRefused, Draining, Saturated
 from goldcresthoist.daemon.kinds import KEYED
 from goldcresthoist.daemon.once import OnceRunner
 from goldcresthoist.daemon.upstream_call import UpstreamCall
@@ -64,6 +64,7 @@
         self.draining = False
         self.loop = asyncio.get_running_loop()
         self.kept = set()
+        self.suspect_waiters = []
         # Calls at the upstream. Their deadlines are checked by one task, since a timer
         # for each call costs more than the check.
         self.active = set()
@@ -125,13 +126,22 @@
         if self.suspects.refused(message.fingerprint, now, message.crash_count):
             self._refuse(call, "crash-suspect", "the request crashed two upstreams")
             return
+        if not await self._take_suspect_turn(message, deadline):
+            text = "other requests that may crash the upstream run first"
+            self._refuse(call, "saturated", text, SUSPECT_RETRY_MS)
+            return
+        slot = None
         try:
+            now = monotonic()
             slot = self.admission.acquire_nowait(rule, deadline, now)
             if slot is None:
                 slot = await self.admission.acquire(rule, deadline, now)
         except AdmissionRefused as exc:
             self._refuse_admission(call, exc)
             return
+        finally:
+            if slot is None:
+                self._end_suspect(message.fingerprint, False)
         self.running += 1
         self.idle.clear()
         if isinstance(rule.kind, KEYED):
@@ -139,21 +149,32 @@
         else:
             await self._run_in_slot(call, rule, deadline, slot)
 
+    async def _take_suspect_turn(self, message, deadline):
+        """Wait until no other suspect runs; return at once for other requests."""
+        start = self.suspects.try_start
+        while not start(message.fingerprint, monotonic(), message.crash_count):
+            waiter = self.loop.create_future()
+            self.suspect_waiters.append(waiter)
+            timeout_s = deadline - monotonic()
+            done, _ = await asyncio.wait((waiter,), timeout=timeout_s)
+            if not done:
+                return False
+        return True
+
+    def _end_suspect(self, fingerprint, succeeded):
+        self.suspects.end(fingerprint, succeeded)
+        if self.suspect_waiters and self.suspects.running is None:
+            waiters, self.suspect_waiters = self.suspect_waiters, []
+            for waiter in waiters:
+                if not waiter.done():
+                    waiter.set_result(None)
+
     async def _run_in_slot(self, call, rule, deadline, slot):
-        fingerprint = call.open.fingerprint
         succeeded = False
         try:
-            now = monotonic()
-            crashes = call.open.crash_count
-            if not self.suspects.try_start(fingerprint, now, crashes):
-                message = "another request that may crash the upstream runs here"
-                self._refuse(call, "saturated", message, SUSPECT_RETRY_MS)
-                return
-            try:
-                succeeded = await self._run(call, rule, deadline)
-            finally:
-                self.suspects.end(fingerprint, succeeded)
+            succeeded = await self._run(call, rule, deadline)
         finally:
+            self._end_suspect(call.open.fingerprint, succeeded)
             self.admission.release(slot, monotonic())
             self.running -= 1
             if not self.running:
--- a/goldcresthoist/daemon/upstream_call.py
+++ b/goldcresthoist/daemon/upstream_call.py
@@ -45,10 +45,12 @@
 
     async def run(self):
         """Run the call; return whether its answer was complete."""
-        if not await self.connect():
+        self.connection = self.upstream.acquire_idle()
+        if self.connection is None and not await self.connect():
             return False
         try:
-            answer = await self.send()
+            self.send()
+            answer = await self.connection.head()
             await self.relay(answer)
             return True
         except UpstreamError as exc:
@@ -61,7 +63,7 @@
         return False
 
     async def connect(self):
-        """Get a connection; refuse the call when there is none."""
+        """Make a connection; refuse the call when that fails."""
         try:
             self.connection = await self.upstream.acquire()
         except UpstreamUnreachable as exc:
@@ -70,8 +72,8 @@
             return False
         return True
 
-    async def send(self):
-        """Send the request; return the `UpstreamAnswer` when its head is here."""
+    def send(self):
+        """Send the request, and the rest of its body from a task."""
         message = self.call.open
         self.server.active.add(self)
         time_left_s = self.deadline - monotonic()
@@ -80,24 +82,24 @@
         if not message.end:
             self.call.admit()
             self.sender = asyncio.create_task(self._send_rest(writer))
-        return await self.connection.head()
 
     async def relay(self, answer):
         """Pass the answer on as it arrives."""
         call = self.call
         body = answer.body
+        if body.error is not None:
+            # Nothing was relayed yet, so the call may still be retried.
+            raise body.error
         data = body.take()
-        first = data
+        first, rest = data, b""
         if len(data) > MAX_BODY_BYTES:
-            first, data = data[:MAX_BODY_BYTES], data[MAX_BODY_BYTES:]
-        else:
-            data = b""
+            first, rest = data[:MAX_BODY_BYTES], data[MAX_BODY_BYTES:]
         ended = body.exhausted
         headers = end_to_end(answer.headers)
         load = self.server.load_report()
-        call.reply(answer.status, headers, load, first, ended and not data)
-        if data:
-            await call.send_body(data, ended)
+        call.reply(answer.status, headers, load, first, ended and not rest)
+        if rest:
+            await call.send_body(rest, ended)
         while not ended:
             data = await body.read()
             ended = body.exhausted
--- a/goldcresthoist/links/calls.py
+++ b/goldcresthoist/links/calls.py
@@ -56,23 +56,20 @@
     async def wait(self, timeout_s=None):
         """Return the outcome, or None when there is none after ``timeout_s``."""
         if not self.known:
-            await self._sleep(timeout_s)
+            self.waiter = self.loop.create_future()
+            timer = None
+            if timeout_s is not None:
+                timer = self.loop.call_later(timeout_s, self._wake)
+            try:
+                await self.waiter
+            finally:
+                self.waiter = None
+                if timer is not None:
+                    timer.cancel()
         if self.error is not None:
             raise self.error
         return self.message
 
-    async def _sleep(self, timeout_s):
-        self.waiter = self.loop.create_future()
-        timer = None
-        if timeout_s is not None:
-            timer = self.loop.call_later(timeout_s, self._wake)
-        try:
-            await self.waiter
-        finally:
-            self.waiter = None
-            if timer is not None:
-                timer.cancel()
-
     def _wake(self):
         if self.waiter is not None and not self.waiter.done():
             self.waiter.set_result(None)
--- /dev/null
+++ b/goldcresthoist/links/tests/builders.py
@@ -0,0 +1,101 @@
+"""Builders for tests of links."""
+
+import asyncio
+import unittest
+
+from goldcresthoist.links import LinkServer, open_link
+from goldcresthoist.links.frames import LoadReport, Open
+from goldcresthoist.tests.fakes import PlainCounters
+
+__all__ = ["KEY", "LinkCase", "RecordingService", "make_open"]
+
+KEY = b"k" * 32
+PATIENCE_S = 60.0
+
+
+class RecordingService:
+    """Keeps the calls it gets; tests answer them."""
+
+    def __init__(self):
+        self.draining = False
+        self.calls = []
+        self.suspects = []
+        self.cancelled = 0
+        self.arrived = asyncio.Event()
+
+    def load_report(self):
+        """Return a load that tests recognise."""
+        return LoadReport(3, 1, 12, 2.5, self.draining)
+
+    def add_suspect(self, fingerprint, count, instance):
+        """Keep a suspect."""
+        self.suspects.append((fingerprint, count, instance))
+
+    async def serve(self, call):
+        """Keep a call until it is done."""
+        self.calls.append(call)
+        self.arrived.set()
+        try:
+            await asyncio.Event().wait()
+        except asyncio.CancelledError:
+            self.cancelled += 1
+            raise
+
+
+def make_open(call_id, body=b"", end=True):
+    """Return an `Open` message."""
+    return Open(
+        call_id,
+        "lookup",
+        "read",
+        "GET",
+        "/",
+        ((b"host", b"a"),),
+        1_000_000,
+        "",
+        b"f" * 16,
+        0,
+        body,
+        end,
+    )
+
+
+class LinkCase(unittest.IsolatedAsyncioTestCase):
+    """A link server and links to it."""
+
+    async def asyncSetUp(self):
+        self.counters = PlainCounters()
+        self.service = RecordingService()
+        self.loads = []
+        self.server = LinkServer("lookup-1", KEY, self.service, self.counters)
+        await self.server.listen("127.0.0.1", 0)
+        self.addAsyncCleanup(self.server.close)
+
+    async def open_link(self, key=KEY, peer="lookup-1"):
+        """Open a link to the server."""
+        link = await open_link(
+            "127.0.0.1",
+            self.server.port,
+            "front-1",
+            peer,
+            key,
+            self.counters,
+            self.loads.append,
+        )
+        self.addCleanup(link.close, "test-end")
+        return link
+
+    async def open_call(self, **changes):
+        """Return a link and both ends of a call on it."""
+        link = await self.open_link()
+        outgoing = link.call(lambda call_id: make_open(call_id, **changes))
+        await asyncio.wait_for(self.service.arrived.wait(), PATIENCE_S)
+        return link, outgoing, self.service.calls[-1]
+
+    async def eventually(self, condition):
+        """Wait until ``condition()`` is true."""
+        async with asyncio.timeout(PATIENCE_S):
+            while True:
+                if condition():
+                    return
+                await asyncio.sleep(0.002)
--- /dev/null
+++ b/goldcresthoist/links/tests/test_links.py
@@ -0,0 +1,187 @@
+"""Tests of the connection between daemons."""
+
+import asyncio
+import unittest
+
+from goldcresthoist.links import CallFailed, LinkClosed, LinkError
+from goldcresthoist.links.frames import (
+    MAX_BODY_BYTES,
+    STREAM_CREDIT_BYTES,
+    Body,
+    Failed,
+    Head,
+    Ping,
+    Refuse,
+    encode_frame,
+)
+from goldcresthoist.links.tests.builders import LinkCase, make_open
+
+
+class HandshakeTest(LinkCase):
+    """Guards against peers without the shared key."""
+
+    async def test_wrong_key_and_wrong_name_are_rejected(self):
+        for changes in ({"key": b"x" * 32}, {"peer": "lookup-2"}):
+            with self.subTest(changes=changes):
+                with self.assertRaises(LinkError):
+                    await self.open_link(**changes)
+        self.assertGreaterEqual(self.counters.total("links_rejected"), 2)
+        self.assertFalse(self.service.calls)
+
+    async def test_frames_before_the_handshake_close_the_connection(self):
+        garbage = b"\xff" * 64
+        too_long = b"\x00\x00\x10\x00" + bytes(64)
+        for data in (encode_frame(Ping(1)), garbage, too_long, b"GET / HTTP/1.1\r\n"):
+            with self.subTest(data=bytes(data[:8])):
+                reader, writer = await asyncio.open_connection(
+                    "127.0.0.1", self.server.port
+                )
+                writer.write(data)
+                try:
+                    await reader.read()
+                except ConnectionError:
+                    pass
+                writer.close()
+        await self.eventually(lambda: not self.server.links)
+        self.assertEqual(self.counters.total("links_rejected"), 4)
+
+    async def test_silent_peer_is_closed(self):
+        _, writer = await asyncio.open_connection("127.0.0.1", self.server.port)
+        await self.eventually(lambda: self.server.links)
+        (link,) = self.server.links
+        link.close_if_silent(link.heard_at + 3.0)
+        await self.eventually(lambda: not self.server.links)
+        writer.close()
+
+
+class CallTest(LinkCase):
+    """Guards against calls that hang, mix or exceed their credit."""
+
+    async def test_corrupt_frame_fails_the_calls_of_the_link(self):
+        link, outgoing, incoming = await self.open_call()
+        link.transport.write(b"\x00\x00\x00\x02\x92\x63")
+        with self.assertRaises(LinkClosed):
+            await outgoing.outcome()
+        await self.eventually(lambda: self.service.cancelled == 1)
+        closed = self.counters.values["links_closed", ("reason", "corrupt-frame")]
+        self.assertEqual(closed, 1)
+
+    async def test_every_outcome_arrives_with_its_load(self):
+        link, outgoing, incoming = await self.open_call()
+        load = self.service.load_report()
+        incoming.reply(200, ((b"a", b"b"),), load, b"hello", True)
+        head = await outgoing.outcome()
+        self.assertIsInstance(head, Head)
+        self.assertEqual(outgoing.body.take(), b"hello")
+        self.assertTrue(outgoing.body.exhausted)
+        self.assertIn(load, self.loads)
+        self.assertFalse(link.calls)
+
+    async def test_refusal_and_failure(self):
+        _, outgoing, incoming = await self.open_call()
+        incoming.refuse("saturated", "full", self.service.load_report(), 20)
+        refusal = await outgoing.outcome()
+        self.assertEqual((type(refusal), refusal.code), (Refuse, "saturated"))
+        _, outgoing, incoming = await self.open_call()
+        incoming.fail("crashed", "gone", self.service.load_report(), 1)
+        failure = await outgoing.outcome()
+        self.assertEqual((type(failure), failure.crash_count), (Failed, 1))
+
+    async def test_failure_after_the_head_breaks_the_body_off(self):
+        _, outgoing, incoming = await self.open_call()
+        load = self.service.load_report()
+        incoming.reply(200, (), load, b"part", False)
+        await outgoing.outcome()
+        incoming.fail("broken", "cut", load)
+        with self.assertRaises(CallFailed):
+            while await outgoing.body.read():
+                pass
+
+    async def test_sender_stops_at_the_credit(self):
+        _, outgoing, incoming = await self.open_call()
+        incoming.reply(200, (), self.service.load_report(), b"", False)
+        size = 4 * STREAM_CREDIT_BYTES
+        sender = asyncio.create_task(incoming.send_body(bytes(size), True))
+        await self.eventually(lambda: outgoing.body.size == STREAM_CREDIT_BYTES)
+        self.assertFalse(sender.done())
+        self.assertTrue(
+            all(len(chunk) <= MAX_BODY_BYTES for chunk in outgoing.body.chunks)
+        )
+        received = 0
+        while data := await outgoing.body.read():
+            received += len(data)
+        await sender
+        self.assertEqual(received, size)
+
+    async def test_request_body_waits_until_the_call_is_admitted(self):
+        _, outgoing, incoming = await self.open_call(end=False)
+        sender = asyncio.create_task(outgoing.send_body(b"x" * 100_000, True))
+        for _ in range(5):
+            await asyncio.sleep(0)
+        self.assertEqual(incoming.body.size, 0)
+        incoming.admit()
+        await self.eventually(lambda: incoming.body.ended)
+        await sender
+        self.assertEqual(incoming.body.size, 100_000)
+
+    async def test_bytes_beyond_the_credit_close_the_link(self):
+        link, outgoing, incoming = await self.open_call(end=False)
+        for _ in range(3 * STREAM_CREDIT_BYTES // MAX_BODY_BYTES):
+            link.send(Body(outgoing.call_id, bytes(MAX_BODY_BYTES), False))
+        with self.assertRaises(LinkClosed):
+            await outgoing.outcome()
+
+    async def test_cancelled_call_takes_no_late_answer(self):
+        link, outgoing, incoming = await self.open_call()
+        outgoing.cancel()
+        await self.eventually(lambda: self.service.cancelled == 1)
+        incoming.reply(200, (), self.service.load_report(), b"late", True)
+        second = link.call(make_open)
+        await self.eventually(lambda: len(self.service.calls) == 2)
+        self.service.calls[1].reply(201, (), self.service.load_report(), b"", True)
+        self.assertEqual((await second.outcome()).status, 201)
+        self.assertEqual(outgoing.body.size, 0)
+
+
+class LivenessTest(LinkCase):
+    """Guards against new work for peers that are gone, frozen or leaving."""
+
+    async def test_unanswered_ping_counts_from_its_start(self):
+        link = await self.open_link()
+        (peer,) = self.server.links
+        peer.transport.pause_reading()
+        link.ping()
+        now = link.loop.time()
+        self.assertLess(link.silent_for(now), 1.0)
+        self.assertGreaterEqual(link.silent_for(now + 1.0), 0.999)
+        peer.transport.resume_reading()
+        await self.eventually(lambda: link.silent_for(now + 1.0) == 0.0)
+
+    async def test_draining_is_told_at_once_and_opens_are_refused(self):
+        link = await self.open_link()
+        self.service.draining = True
+        self.server.announce_load()
+        await self.eventually(lambda: self.loads and self.loads[-1].draining)
+        outgoing = link.call(make_open)
+        refusal = await outgoing.outcome()
+        self.assertEqual(refusal.code, "draining")
+        self.assertFalse(self.service.calls)
+
+    async def test_suspects_are_acknowledged(self):
+        link = await self.open_link()
+        await link.tell_suspect(b"f" * 16, 1, "lookup-2")
+        self.assertEqual(self.service.suspects, [(b"f" * 16, 1, "lookup-2")])
+
+    async def test_lost_link_fails_calls_on_both_sides(self):
+        link, outgoing, incoming = await self.open_call()
+        (peer,) = self.server.links
+        peer.transport.abort()
+        with self.assertRaises(LinkClosed):
+            await outgoing.outcome()
+        await self.eventually(lambda: self.service.cancelled == 1)
+        with self.assertRaises(LinkClosed):
+            link.call(make_open)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/goldcresthoist/upstreams/pool.py
+++ b/goldcresthoist/upstreams/pool.py
@@ -36,19 +36,23 @@
         self.refill = None
         self.closed = False
 
+    def acquire_idle(self):
+        """Return an idle connection without unexpected bytes, or None."""
+        while self.idle:
+            connection = self.idle.pop()
+            if connection.is_clean():
+                return self._hand_out(connection)
+            connection.close()
+        return None
+
     async def acquire(self):
-        """Return a connection without unexpected bytes.
+        """Return a new connection.
 
         Raises
         ------
         UpstreamUnreachable
             When no connection can be made in `CONNECT_TIMEOUT_S`.
         """
-        while self.idle:
-            connection = self.idle.pop()
-            if connection.is_clean():
-                return self._hand_out(connection)
-            connection.close()
         return self._hand_out(await self._connect())
 
     def release(self, connection):
@@ -92,7 +96,9 @@
 
     def _hand_out(self, connection):
         connection.call_serial = self.serial
-        self._keep_some_open()
+        # Connections are opened ahead of need; they are also the evidence of a crash.
+        if len(self.idle) < KEEP_OPEN and (self.refill is None or self.refill.done()):
+            self.refill = asyncio.create_task(self._refill())
         return connection
 
     async def _connect(self):
@@ -118,11 +124,6 @@
         if connection in self.idle:
             self.idle.remove(connection)
 
-    def _keep_some_open(self):
-        """Open connections ahead of need, which also serve as crash witnesses."""
-        if len(self.idle) < KEEP_OPEN and (self.refill is None or self.refill.done()):
-            self.refill = asyncio.create_task(self._refill())
-
     async def _refill(self):
         while len(self.idle) < KEEP_OPEN and not self.closed:
             try:
