--- a/goldcresthoist/config/__init__.py
+++ b/goldcresthoist/config/__init__.py
@@ -1,11 +1,20 @@
 """Settings, questionnaire and generated configuration."""
 
+from goldcresthoist.config.differences import differences
 from goldcresthoist.config.errors import (
     ConfigError,
     ConfigurationConflict,
     InvalidAnswer,
     InvalidSetting,
 )
+from goldcresthoist.config.generation import generate
+from goldcresthoist.config.holder import (
+    ConfigurationHolder,
+    InForce,
+    InvalidContent,
+    content_digest,
+    decode_content,
+)
 from goldcresthoist.config.model import (
     AtMostOnce,
     Read,
@@ -15,14 +24,19 @@
     Upload,
     WorkRule,
 )
+from goldcresthoist.config.questionnaire import Questionnaire
 from goldcresthoist.config.settings import Settings, split_address
 
 __all__ = [
     "AtMostOnce",
     "ConfigError",
     "ConfigurationConflict",
+    "ConfigurationHolder",
+    "InForce",
     "InvalidAnswer",
+    "InvalidContent",
     "InvalidSetting",
+    "Questionnaire",
     "Read",
     "Repeatable",
     "ServiceConfiguration",
@@ -30,5 +44,9 @@
     "TeamConfiguration",
     "Upload",
     "WorkRule",
+    "differences",
+    "generate",
+    "content_digest",
+    "decode_content",
     "split_address",
 ]
--- a/goldcresthoist/daemon/call_head.py
+++ b/goldcresthoist/daemon/call_head.py
@@ -4,7 +4,8 @@
 import re
 
 from goldcresthoist.callers import BadRequest
-from goldcresthoist.config.model import Read
+from goldcresthoist.config.model import Read, Upload
+from goldcresthoist.daemon.kinds import UPLOAD_METHODS
 
 __all__ = ["find_rule", "fingerprint", "split_target"]
 
@@ -36,6 +37,8 @@
     if (".." in path or "%" in path) and _CLIMBING.search(path):
         raise BadRequest("the path must not contain a '..' segment")
     rule = configuration.rule_for(method, path)
+    if rule is None and method in UPLOAD_METHODS:
+        rule = _find_upload(configuration, path)
     if rule is None and method == "HEAD":
         rule = configuration.rule_for("GET", path)
         if rule is not None and not isinstance(rule.kind, Read):
@@ -43,6 +46,14 @@
     return rule
 
 
+def _find_upload(configuration, path):
+    for method in ("POST", "PUT"):
+        rule = configuration.rule_for(method, path)
+        if rule is not None and isinstance(rule.kind, Upload):
+            return rule
+    return None
+
+
 def fingerprint(service, method, target, length, body):
     """Return the digest that names a request when it crashes an upstream."""
     named = f"{service}\n{method}\n{target}\n{length}\n".encode() + body
--- a/goldcresthoist/daemon/routing.py
+++ b/goldcresthoist/daemon/routing.py
@@ -5,6 +5,7 @@
 import os
 
 from goldcresthoist.callers import CallerError, Refusal
+from goldcresthoist.config.model import Upload
 from goldcresthoist.daemon.call_head import find_rule, split_target
 from goldcresthoist.daemon.kinds import KEYED
 from goldcresthoist.daemon.routed_call import RoutedCall
@@ -36,8 +37,8 @@
         Runs calls at the own upstream.
     counters
         Has ``add(name, amount=1, **labels)``.
-    reserved : coroutine function, optional
-        ``reserved(request, exchange)`` answers the paths below ``/<service>/-/``.
+    operation_paths : OperationPaths, optional
+        Answers the paths below ``/<service>/-/``.
     """
 
     def __init__(
@@ -50,7 +51,7 @@
         links,
         server,
         counters,
-        reserved=None,
+        operation_paths=None,
     ):
         self.instance = member.instance
         self.failure_domain = member.failure_domain
@@ -62,7 +63,9 @@
         self.links = links
         self.server = server
         self.counters = counters
-        self.reserved = reserved
+        self.operation_paths = operation_paths
+        # Set by the daemon, since it needs this router.
+        self.uploads = None
         self.routes = {}
         self.ready = True
         self.loop = asyncio.get_running_loop()
@@ -72,12 +75,15 @@
     async def handle(self, request, exchange):
         """Answer one request of a caller."""
         try:
-            if self.reserved is not None and RESERVED_PART in request.target:
-                await self.reserved(request, exchange)
-                return
+            if RESERVED_PART in request.target and self.operation_paths is not None:
+                if await self._answer_operation_path(request, exchange):
+                    return
             call = self._prepare(request, exchange)
             if call is None:
                 return
+            if self.uploads is not None and isinstance(call.rule.kind, Upload):
+                await self.uploads.handle(call)
+                return
             if not request.body.exhausted:
                 await call.read_prefix()
             await call.run()
@@ -103,6 +109,16 @@
         """Return an identifier that is unique over all daemons."""
         return self.request_prefix + b"%x" % next(self.request_numbers)
 
+    async def _answer_operation_path(self, request, exchange):
+        """Answer a path below ``/<service>/-/``; return whether it was one."""
+        service, target = split_target(request.target)
+        if not target.startswith(RESERVED_PART) or not self.ready:
+            return False
+        if self.configurations.service(service) is None:
+            return False
+        await self.operation_paths.handle(self, service, target, request, exchange)
+        return True
+
     def _prepare(self, request, exchange):
         """Return the call for a request, or None when the request is refused."""
         service, target = split_target(request.target)
--- a/goldcresthoist/daemon/serving.py
+++ b/goldcresthoist/daemon/serving.py
@@ -3,13 +3,13 @@
 import asyncio
 from time import monotonic
 
-from loguru import logger
-
 from goldcresthoist.balance import AdmissionRefused, Draining, Saturated
+from goldcresthoist.config.model import AtMostOnce, Upload
 from goldcresthoist.daemon.kinds import KEYED
 from goldcresthoist.daemon.once import OnceRunner
 from goldcresthoist.daemon.upstream_call import UpstreamCall
 from goldcresthoist.links.frames import FailureKind, LoadReport
+from goldcresthoist.telemetry import log_event
 
 __all__ = ["CallServer"]
 
@@ -58,6 +58,8 @@
         self.upstream = upstream
         self.suspects = suspects
         self.once = OnceRunner(service, upstream, ledger)
+        # An `UploadRunner`, set by a daemon that has an object store.
+        self.uploads = None
         self.counters = counters
         self.configuration = None
         self.admission = None
@@ -93,11 +95,12 @@
         """Count a request that was running when another upstream crashed."""
         self.counters.add("crash_suspects")
         self.suspects.learn(fingerprint, count, monotonic())
-        logger.warning(
-            "event=crash-suspect fingerprint={} count={} instance={}",
-            fingerprint.hex(),
-            count,
-            instance,
+        log_event(
+            "warning",
+            "crash suspect",
+            fingerprint=fingerprint,
+            count=count,
+            instance=instance,
         )
 
     async def close(self):
@@ -111,7 +114,7 @@
         try:
             await self._admit(call)
         except Exception as exc:
-            logger.exception("event=call-error service={}", self.service)
+            log_event("error", "call failed", service=self.service, error=exc)
             if not call.done:
                 call.fail(FailureKind.BROKEN, repr(exc), self.load_report())
 
@@ -182,8 +185,11 @@
 
     async def _run(self, call, rule, deadline):
         upstream_call = UpstreamCall(call, self.upstream, rule, deadline, self)
-        if isinstance(rule.kind, KEYED):
-            return await self.once.run(upstream_call)
+        match rule.kind:
+            case Upload() if self.uploads is not None:
+                return await self.uploads.run(upstream_call)
+            case AtMostOnce() | Upload():
+                return await self.once.run(upstream_call)
         return await upstream_call.run()
 
     def crashed(self, call):
--- a/goldcresthoist/table/__init__.py
+++ b/goldcresthoist/table/__init__.py
@@ -1,3 +1,40 @@
 """Client of the platform's table service."""
 
-__all__ = []
+from goldcresthoist.table.client import TableClient
+from goldcresthoist.table.decided import (
+    Applied,
+    NotSent,
+    Refused,
+    Seen,
+    Undecided,
+    Written,
+    write_until_known,
+)
+from goldcresthoist.table.errors import (
+    ConditionFailed,
+    OutcomeUnknown,
+    TableError,
+    TableUnavailable,
+)
+from goldcresthoist.table.items import Absent, Always, Condition, Equals, Key, Put
+
+__all__ = [
+    "Absent",
+    "Always",
+    "Applied",
+    "Condition",
+    "ConditionFailed",
+    "Equals",
+    "Key",
+    "NotSent",
+    "OutcomeUnknown",
+    "Put",
+    "Refused",
+    "Seen",
+    "TableClient",
+    "TableError",
+    "TableUnavailable",
+    "Undecided",
+    "Written",
+    "write_until_known",
+]
