callpath: tests of callers, upstream connections and frames; counts of calls

Cause: malformed requests, reuse of upstream connections and crash detection had no tests of their own, and calls were not counted.

The counters calls and call_seconds. Crash reports and relaying are modules of their own.

The tests found a fault: a request with Upgrade was run before it was refused, since the parser reports the upgrade after the request. It is refused at its head now.

--- a/goldcresthoist/callers/exchange.py
+++ b/goldcresthoist/callers/exchange.py
@@ -31,6 +31,7 @@
         "keep_alive",
         "remaining",
         "started",
+        "status",
     )
 
     def __init__(self, connection, request, closing):
@@ -40,6 +41,7 @@
         self.bodyless = request is not None and request.method == "HEAD"
         self.continue_due = request is not None and request.expects_continue
         self.started = False
+        self.status = 0
         self.finished = False
         self.chunked = False
         self.remaining = None
@@ -56,6 +58,7 @@
         ``headers`` are end-to-end headers. When ``end`` is true the body is complete.
         """
         self.started = True
+        self.status = status
         bodyless = self.bodyless or status in BODYLESS_STATUSES
         self.bodyless = bodyless
         parts = [b"HTTP/1.1 %d %b\r\n" % (status, REASONS.get(status, b"Unknown"))]
--- a/goldcresthoist/callers/request.py
+++ b/goldcresthoist/callers/request.py
@@ -128,6 +128,10 @@
             raise HeadersTooLarge(
                 f"headers of {self.head_bytes} bytes exceed {MAX_HEADER_BYTES} bytes"
             )
+        if self.parser.should_upgrade():
+            # The parser takes what follows for another protocol, so the body of the
+            # request and later requests could not be told apart.
+            raise BadRequest("protocol upgrades are not supported")
         request.method = self.parser.get_method().decode("ascii")
         request.target = _origin_form(self.url)
         request.http10 = self.parser.get_http_version() != "1.1"
--- /dev/null
+++ b/goldcresthoist/callers/tests/test_caller_server.py
@@ -0,0 +1,216 @@
+"""Tests of the HTTP server for callers."""
+
+import asyncio
+import unittest
+
+from goldcresthoist.callers import CallerServer
+from goldcresthoist.tests.cluster import RawCaller, eventually
+from goldcresthoist.tests.fakes import PlainCounters
+
+HOST = b"Host: a\r\n"
+GET = b"GET /a HTTP/1.1\r\n" + HOST
+
+
+class CallerCase(unittest.IsolatedAsyncioTestCase):
+    """A server whose handler echoes bodies, or waits at the path ``/wait``."""
+
+    async def asyncSetUp(self):
+        self.counters = PlainCounters()
+        self.handled = []
+        self.read_allowed = asyncio.Event()
+        self.read_allowed.set()
+        self.errors = []
+        self.server = CallerServer(self.handle, self.counters)
+        await self.server.listen("127.0.0.1", 0)
+        self.addAsyncCleanup(self.server.close)
+
+    async def handle(self, request, exchange):
+        """Answer with the target and the body."""
+        self.handled.append(request)
+        await self.read_allowed.wait()
+        parts = [request.target.encode()]
+        try:
+            while data := await request.body.read():
+                parts.append(data)
+        except Exception as exc:
+            self.errors.append(exc)
+            raise
+        exchange.start(200, (), b"".join(parts), True)
+
+    async def connect(self):
+        """Connect a caller."""
+        caller = await RawCaller.connect(f"127.0.0.1:{self.server.port}")
+        self.addAsyncCleanup(caller.close)
+        return caller
+
+
+class MalformedRequestTest(CallerCase):
+    """Guards against request smuggling, crashes and unclear refusals."""
+
+    async def check_refused(self, data, status=400):
+        """Send bytes and expect one refusal and the end of the connection."""
+        caller = await self.connect()
+        caller.write(data)
+        answer = await caller.answer()
+        self.assertEqual(answer.status, status)
+        self.assertEqual(answer.headers["connection"], "close")
+        self.assertEqual(answer.json()["outcome"], "not-run")
+        self.assertEqual(await caller.closed(), b"")
+
+    async def test_bytes_that_are_no_request(self):
+        chunked = b"Transfer-Encoding: chunked\r\n"
+        cases = [
+            b"\x00\x01\x02\x03\r\n\r\n",
+            b"GET /a HTTP/9.9\r\n\r\n",
+            b"GET /a HTTP/1.1\r\n\r\n",
+            GET + HOST + b"\r\n",
+            b"GET a HTTP/1.1\r\n" + HOST + b"\r\n",
+            b"GET /a#b HTTP/1.1\r\n" + HOST + b"\r\n",
+            b"GET /\x7f HTTP/1.1\r\n" + HOST + b"\r\n",
+            b"CONNECT a:1 HTTP/1.1\r\n" + HOST + b"\r\n",
+            GET + b"Upgrade: h2c\r\nConnection: upgrade\r\n\r\n",
+            GET + b"bad header\r\n\r\n",
+            GET + b"a : b\r\n\r\n",
+            GET + b"Content-Length: 1\r\nContent-Length: 2\r\n\r\nx",
+            GET + b"Content-Length: 1\r\nContent-Length: 1\r\n\r\nx",
+            GET + b"Content-Length: -1\r\n\r\n",
+            GET + b"Content-Length: +1\r\n\r\nx",
+            GET + b"Content-Length: 1, 1\r\n\r\nx",
+            GET + b"Content-Length: 99999999999999999999999\r\n\r\n",
+            GET + b"Content-Length: 3\r\n" + chunked + b"\r\n0\r\n\r\n",
+            GET + chunked + b"Content-Length: 3\r\n\r\n0\r\n\r\n",
+            GET + b"Transfer-Encoding: gzip, chunked\r\n\r\n0\r\n\r\n",
+            GET + b"Transfer-Encoding: identity\r\n\r\n",
+            GET + chunked + chunked + b"\r\n0\r\n\r\n",
+            b"POST /a HTTP/1.0\r\n" + chunked + b"\r\n0\r\n\r\n",
+            GET + b"Expect: something\r\n\r\n",
+        ]
+        for data in cases:
+            with self.subTest(data=data):
+                await self.check_refused(data)
+        self.assertEqual(self.handled, [])
+        refused = self.counters.values["refusals", ("code", "bad-request")]
+        self.assertEqual(refused, len(cases))
+
+    async def test_headers_too_large(self):
+        long_line = GET + b"X: " + b"x" * 40_000 + b"\r\n\r\n"
+        many_lines = GET + b"X: 1\r\n" * 10_000 + b"\r\n"
+        endless = GET + b"X: " + b"x" * 200_000
+        long_target = b"GET /" + b"a" * 40_000 + b" HTTP/1.1\r\n" + HOST + b"\r\n"
+        for data in (long_line, many_lines, endless, long_target):
+            with self.subTest(data=data[:40]):
+                caller = await self.connect()
+                caller.write(data)
+                answer = await caller.answer()
+                self.assertEqual(answer.status, 431)
+                self.assertEqual(answer.code, "headers-too-large")
+
+    async def test_bad_chunk_fails_the_body_that_is_received(self):
+        caller = await self.connect()
+        caller.write(b"POST /a HTTP/1.1\r\n" + HOST)
+        caller.write(b"Transfer-Encoding: chunked\r\n\r\n5\r\nhello\r\nzz\r\n")
+        await caller.closed()
+        self.assertEqual(len(self.errors), 1)
+
+    async def test_request_after_a_malformed_one_is_not_run(self):
+        caller = await self.connect()
+        caller.write(GET + b"\r\n" + b"broken\r\n\r\n" + GET + b"\r\n")
+        self.assertEqual((await caller.answer()).status, 200)
+        self.assertEqual((await caller.answer()).status, 400)
+        await caller.closed()
+        self.assertEqual(len(self.handled), 1)
+
+
+class ConnectionTest(CallerCase):
+    """Guards against answers out of order and connections that hold memory."""
+
+    async def test_pipelined_bodies_stay_apart(self):
+        caller = await self.connect()
+        for number in range(50):
+            caller.send("POST", f"/{number}-", (), b"x" * number)
+        for number in range(50):
+            answer = await caller.answer()
+            self.assertEqual(answer.body, b"/%d-" % number + b"x" * number)
+
+    async def test_bytes_one_by_one(self):
+        caller = await self.connect()
+        data = b"POST /a HTTP/1.1\r\nHost: a\r\nContent-Length: 3\r\n\r\nxyz"
+        for index in range(len(data)):
+            caller.write(data[index : index + 1])
+            await caller.writer.drain()
+            await asyncio.sleep(0)
+        self.assertEqual((await caller.answer()).body, b"/axyz")
+
+    async def test_reading_stops_while_a_body_is_not_consumed(self):
+        self.read_allowed.clear()
+        caller = await self.connect()
+        size = 8 * 1024 * 1024
+        caller.send("POST", "/a", (), bytes(size))
+        await eventually(lambda: self.handled)
+        (connection,) = self.server.connections
+        await eventually(lambda: connection.read_paused)
+        self.assertLess(self.handled[0].body.size, 1024 * 1024)
+        self.read_allowed.set()
+        self.assertEqual(len((await caller.answer()).body), size + 2)
+
+    async def test_leaving_caller_fails_the_body(self):
+        caller = await self.connect()
+        caller.write(b"POST /a HTTP/1.1\r\n" + HOST + b"Content-Length: 9\r\n\r\nxy")
+        await eventually(lambda: self.handled)
+        await caller.close()
+        await eventually(lambda: not self.server.connections)
+        self.assertFalse(self.handled[0].body.exhausted)
+
+    async def test_continue_is_sent_when_it_is_expected(self):
+        async def handle(request, exchange):
+            exchange.allow_body()
+            body = await request.body.read()
+            exchange.start(200, (), body, True)
+
+        self.server.handler = handle
+        caller = await self.connect()
+        caller.write(b"PUT /a HTTP/1.1\r\n" + HOST + b"Expect: 100-continue\r\n")
+        caller.write(b"Content-Length: 2\r\n\r\n")
+        head = await caller.reader.readuntil(b"\r\n\r\n")
+        self.assertEqual(head, b"HTTP/1.1 100 Continue\r\n\r\n")
+        caller.write(b"ok")
+        self.assertEqual((await caller.answer()).body, b"ok")
+
+    async def test_old_protocol_and_close_end_the_connection(self):
+        for data in (
+            b"GET /a HTTP/1.0\r\n\r\n",
+            GET + b"Connection: close\r\n\r\n",
+        ):
+            caller = await self.connect()
+            caller.write(data)
+            answer = await caller.answer()
+            self.assertEqual(answer.headers["connection"], "close")
+            self.assertEqual(await caller.closed(), b"")
+
+    async def test_overdue_connections_are_closed(self):
+        idle = await self.connect()
+        slow = await self.connect()
+        slow.write(b"GET /a HT")
+        await eventually(lambda: len(self.server.connections) == 2)
+        connections = self.server.connections
+        await eventually(lambda: any(c.parser.in_head for c in connections))
+        now = asyncio.get_running_loop().time()
+        for connection in tuple(self.server.connections):
+            connection.close_if_overdue(now + 20.0)
+        self.assertEqual(await slow.closed(), b"")
+        await idle.call("GET", "/a")
+        self.assertEqual(self.counters.total("caller_connections_timed_out"), 1)
+
+    async def test_handler_that_fails_cuts_the_answer(self):
+        async def handle(request, exchange):
+            exchange.start(200, ((b"content-length", b"10"),), b"half")
+
+        self.server.handler = handle
+        caller = await self.connect()
+        caller.write(GET + b"\r\n")
+        with self.assertRaises((EOFError, ConnectionError)):
+            await caller.answer()
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/goldcresthoist/daemon/routed_call.py
+++ b/goldcresthoist/daemon/routed_call.py
@@ -14,15 +14,16 @@
 )
 from goldcresthoist.daemon.attempt import Attempt
 from goldcresthoist.daemon.call_head import fingerprint
+from goldcresthoist.daemon.crash_report import report_crash
 from goldcresthoist.daemon.kinds import REPEATABLE
-from goldcresthoist.links import CallFailed, LinkClosed, LinkError
+from goldcresthoist.daemon.relay import relay_answer
+from goldcresthoist.links import LinkClosed
 from goldcresthoist.links.frames import Failed, FailureKind, Head, Refuse
 
 __all__ = ["RoutedCall"]
 
 PREFIX_BYTES = 64 * 1024
 LINK_WAIT_S = 1.0
-SUSPECT_ACK_S = 0.2
 # Statuses of an upstream that fails rather than answers.
 FAILED_STATUSES = frozenset((500, 502, 503, 504))
 
@@ -48,6 +49,7 @@
         "router",
         "rule",
         "started",
+        "started_at",
         "target",
     )
 
@@ -57,7 +59,8 @@
         self.rule = rule
         self.request = request
         self.exchange = exchange
-        self.deadline = monotonic() + (request.deadline_s or rule.longest_s)
+        self.started_at = now = monotonic()
+        self.deadline = now + (request.deadline_s or rule.longest_s)
         self.loop = router.loop
         self.target = target
         request_id = request.request_id or router.new_request_id()
@@ -249,33 +252,15 @@
                 attempt.end(Outcome.CANCELLED, outcome.load)
             case Failed(kind=FailureKind.CRASHED):
                 attempt.end(Outcome.FAILED, outcome.load)
-                await self._tell_crash(attempt, outcome)
+                self.crash_count = max(outcome.crash_count, self.crash_count + 1)
+                await report_crash(self, attempt)
             case _:
                 attempt.end(Outcome.FAILED, outcome.load)
 
-    async def _tell_crash(self, attempt, failed):
-        """Tell every daemon of the service before the request may run again."""
-        self.crash_count = max(failed.crash_count, self.crash_count + 1)
-        instance = attempt.view.instance
-        if self.router.server.service == self.route.name and not attempt.local:
-            self.router.server.add_suspect(self.fingerprint, self.crash_count, instance)
-        now = monotonic()
-        links = [p.link for p in self.route.peers.values() if p.is_usable(now)]
-        tasks = [
-            self.loop.create_task(
-                link.tell_suspect(self.fingerprint, self.crash_count, instance)
-            )
-            for link in links
-        ]
-        if tasks:
-            _, late = await asyncio.wait(tasks, timeout=SUSPECT_ACK_S)
-            for task in late:
-                task.cancel()
-
     async def _answer(self, attempt, outcome):
         match outcome:
             case Head():
-                await self._relay(attempt, outcome)
+                await relay_answer(self, attempt, outcome)
             case Refuse():
                 self.router.answer(self.exchange, refusal_from_frame(outcome))
             case Failed():
@@ -284,34 +269,6 @@
                 )
                 self.router.answer(self.exchange, refusal)
 
-    async def _relay(self, attempt, head):
-        """Pass the answer on completely, or cut the caller's connection."""
-        exchange = self.exchange
-        body = attempt.call.body
-        try:
-            data = body.take()
-            ended = body.exhausted
-            exchange.start(head.status, head.headers, data, ended)
-            if not ended:
-                async with asyncio.timeout_at(self.deadline):
-                    await _relay_rest(body, exchange)
-        except (CallFailed, LinkError, ValueError):
-            self.router.counters.add("answers_cut")
-            attempt.end(Outcome.FAILED, None)
-            exchange.abort()
-            return
-        attempt.end(Outcome.SUCCEEDED, head.load)
-        self.route.hedges.record(self.rule, attempt.latency_s)
-
-
-async def _relay_rest(body, exchange):
-    ended = False
-    while not ended:
-        data = await body.read()
-        ended = body.exhausted
-        await exchange.send(data)
-    exchange.finish()
-
 
 def _is_answer(outcome):
     return type(outcome) is Head and outcome.status not in FAILED_STATUSES
--- a/goldcresthoist/daemon/routing.py
+++ b/goldcresthoist/daemon/routing.py
@@ -3,6 +3,7 @@
 import asyncio
 import itertools
 import os
+from time import monotonic
 
 from goldcresthoist.callers import CallerError, Refusal
 from goldcresthoist.config.model import Upload
@@ -14,6 +15,7 @@
 __all__ = ["CallRouter"]
 
 RESERVED_PART = "/-/"
+_STATUS_CLASSES = {2: "2xx", 3: "3xx", 4: "4xx", 5: "5xx"}
 
 
 class CallRouter:
@@ -36,7 +38,7 @@
     server : CallServer
         Runs calls at the own upstream.
     counters
-        Has ``add(name, amount=1, **labels)``.
+        Has ``add(name, amount=1, **labels)`` and ``observe(name, seconds, **labels)``.
     operation_paths : OperationPaths, optional
         Answers the paths below ``/<service>/-/``.
     """
@@ -87,8 +89,10 @@
             if not request.body.exhausted:
                 await call.read_prefix()
             await call.run()
+            self._count(call)
         except TimeoutError:
             call.on_deadline()
+            self._count(call)
         except CallerError as exc:
             if exchange.started:
                 exchange.abort()
@@ -119,6 +123,18 @@
         await self.operation_paths.handle(self, service, target, request, exchange)
         return True
 
+    def _count(self, call):
+        rule = call.rule
+        self.counters.add(
+            "calls",
+            service=call.route.name,
+            work=rule.name,
+            status=_STATUS_CLASSES.get(call.exchange.status // 100, "other"),
+        )
+        self.counters.observe(
+            "call_seconds", monotonic() - call.started_at, work=rule.name
+        )
+
     def _prepare(self, request, exchange):
         """Return the call for a request, or None when the request is refused."""
         service, target = split_target(request.target)
--- a/goldcresthoist/daemon/tests/test_resilience.py
+++ b/goldcresthoist/daemon/tests/test_resilience.py
@@ -4,6 +4,7 @@
 import unittest
 
 from goldcresthoist.daemon.tests.builders import RoutingCase
+from goldcresthoist.tests.cluster import eventually
 from goldcresthoist.tests.fakes import FakeLedger
 
 
@@ -66,7 +67,7 @@
         entry, upstreams = await self.start_path(2, retry_share=1.0)
         caller = await self.caller(entry)
         caller.send("GET", "/lookup/items?ms=300")
-        await self.eventually(lambda: total_started(upstreams) == 1)
+        await eventually(lambda: total_started(upstreams) == 1)
         for upstream in upstreams:
             if upstream.standin.counts["started"]:
                 await upstream.link_server.close()
@@ -79,9 +80,9 @@
         caller = await self.caller(entry)
         await caller.call("GET", "/lookup/items")
         peers = entry.router.routes["lookup"].peers
-        await self.eventually(lambda: all(peer.link for peer in peers.values()))
+        await eventually(lambda: all(peer.link for peer in peers.values()))
         frozen = peers["lookup-0"]
-        await self.eventually(lambda: frozen.link.ready)
+        await eventually(lambda: frozen.link.ready)
         frozen.task.cancel()
         frozen.link.silent_for = lambda now: 1.5
         before = upstreams[0].standin.counts["started"]
@@ -138,7 +139,7 @@
         await callers[0].call("GET", "/lookup/items")
         for number, caller in enumerate(callers):
             caller.send("GET", f"/lookup/items/{number}?ms=200")
-        await self.eventually(lambda: total_started(upstreams) == 9)
+        await eventually(lambda: total_started(upstreams) == 9)
         upstreams[0].standin.crash()
         for caller in callers:
             answer = await caller.answer()
@@ -180,12 +181,12 @@
 
         running = {leaving}
         callers = [asyncio.create_task(keep_calling()) for _ in range(6)]
-        await self.eventually(lambda: leaving.standin.counts["started"] > 5)
+        await eventually(lambda: leaving.standin.counts["started"] > 5)
         leaving.start_draining()
         await leaving.server.wait_until_idle()
         started = leaving.standin.counts["started"]
         done = len(statuses)
-        await self.eventually(lambda: len(statuses) > done + 50)
+        await eventually(lambda: len(statuses) > done + 50)
         running.clear()
         await asyncio.gather(*callers)
         self.assertEqual(set(statuses), {200})
@@ -197,7 +198,7 @@
         size = 500_000
         caller.write(b"PUT /lookup/items HTTP/1.1\r\nHost: a\r\n")
         caller.write(b"Content-Length: %d\r\n\r\n" % size + bytes(size // 2))
-        await self.eventually(lambda: upstream.standin.counts["started"] == 1)
+        await eventually(lambda: upstream.standin.counts["started"] == 1)
         upstream.start_draining()
         late = await self.caller(upstream)
         answer = await late.call("GET", "/lookup/items")
--- a/goldcresthoist/daemon/tests/test_routing.py
+++ b/goldcresthoist/daemon/tests/test_routing.py
@@ -3,6 +3,7 @@
 import unittest
 
 from goldcresthoist.daemon.tests.builders import RoutingCase, no_retries
+from goldcresthoist.tests.cluster import eventually
 from goldcresthoist.tests.fakes import FakeLedger
 
 MIB = 1024 * 1024
@@ -168,7 +169,7 @@
             answer = await caller.call("GET", "/lookup/items?ms=60000", headers)
             self.assertEqual((answer.status, answer.code), (504, "deadline-exceeded"))
             counts = upstream.standin.counts
-            await self.eventually(lambda: counts["cancelled"] > before)
+            await eventually(lambda: counts["cancelled"] > before)
             answer = await caller.call("GET", "/lookup/items/next")
             self.assertEqual(answer.json()["target"], "/items/next")
         await upstream.server.wait_until_idle()
@@ -181,9 +182,9 @@
             started = counts["started"]
             caller = await self.caller(node)
             caller.send("GET", "/lookup/items?ms=60000")
-            await self.eventually(lambda: counts["started"] > started)
+            await eventually(lambda: counts["started"] > started)
             await caller.close()
-            await self.eventually(lambda: counts["cancelled"] > before)
+            await eventually(lambda: counts["cancelled"] > before)
         await upstream.server.wait_until_idle()
 
     async def test_truncated_request_body_is_not_completed(self):
@@ -192,9 +193,9 @@
         caller = await self.caller(entry)
         caller.write(b"PUT /lookup/items HTTP/1.1\r\nHost: a\r\n")
         caller.write(b"Content-Length: 1000000\r\n\r\n" + bytes(500_000))
-        await self.eventually(lambda: counts["started"] == 1)
+        await eventually(lambda: counts["started"] == 1)
         await caller.close()
-        await self.eventually(lambda: counts["cancelled"] == 1)
+        await eventually(lambda: counts["cancelled"] == 1)
         self.assertEqual(counts["completed"], 0)
 
     async def test_slow_caller_holds_the_upstream_back(self):
@@ -202,8 +203,8 @@
         caller = await self.caller(entry)
         size = 64 * MIB
         caller.send("GET", f"/lookup/items?size={size}")
-        await self.eventually(lambda: upstream.standin.counts["started"] == 1)
-        await self.eventually(lambda: upstream_paused(upstream))
+        await eventually(lambda: upstream.standin.counts["started"] == 1)
+        await eventually(lambda: upstream_paused(upstream))
         answer = await caller.answer()
         self.assertEqual(len(answer.body), size)
 
@@ -244,7 +245,7 @@
         caller = await self.caller(entry)
         headers = [("Idempotency-Key", "k1")]
         caller.send("POST", "/lookup/settle?ms=50", headers)
-        await self.eventually(lambda: upstream.standin.counts["started"])
+        await eventually(lambda: upstream.standin.counts["started"])
         await caller.close()
         await upstream.server.wait_until_idle()
         self.assertEqual(upstream.standin.counts["cancelled"], 0)
--- a/goldcresthoist/links/tests/builders.py
+++ b/goldcresthoist/links/tests/builders.py
@@ -5,12 +5,12 @@
 
 from goldcresthoist.links import LinkServer, open_link
 from goldcresthoist.links.frames import LoadReport, Open
+from goldcresthoist.tests.cluster import PATIENCE_S
 from goldcresthoist.tests.fakes import PlainCounters
 
 __all__ = ["KEY", "LinkCase", "RecordingService", "make_open"]
 
 KEY = b"k" * 32
-PATIENCE_S = 60.0
 
 
 class RecordingService:
@@ -91,11 +91,3 @@
         outgoing = link.call(lambda call_id: make_open(call_id, **changes))
         await asyncio.wait_for(self.service.arrived.wait(), PATIENCE_S)
         return link, outgoing, self.service.calls[-1]
-
-    async def eventually(self, condition):
-        """Wait until ``condition()`` is true."""
-        async with asyncio.timeout(PATIENCE_S):
-            while True:
-                if condition():
-                    return
-                await asyncio.sleep(0.002)
--- /dev/null
+++ b/goldcresthoist/links/tests/test_frames.py
@@ -0,0 +1,54 @@
+"""Tests of the codec of links."""
+
+import unittest
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from goldcresthoist.links.errors import CorruptFrame
+from goldcresthoist.links.frames import (
+    Body,
+    Cancel,
+    FrameDecoder,
+    Head,
+    LoadReport,
+    Ping,
+    encode_frame,
+)
+from goldcresthoist.links.tests.builders import make_open
+
+MESSAGES = [
+    Ping(1),
+    make_open(7, b"body"),
+    Body(7, bytes(30_000), False),
+    Head(7, 200, ((b"a", b"b"),), LoadReport(1, 2, 12, 0.5, True), b"x", True),
+    Cancel(7),
+]
+
+
+class FrameDecoderTest(unittest.TestCase):
+    """Guards against frames that depend on how TCP cuts the stream."""
+
+    @settings(derandomize=True, deadline=None, max_examples=60)
+    @given(st.lists(st.integers(1, 4096), min_size=1, max_size=40))
+    def test_any_cut_gives_the_same_messages(self, sizes):
+        data = b"".join(encode_frame(message) for message in MESSAGES)
+        decoder = FrameDecoder()
+        received = []
+        for size in sizes:
+            received += decoder.feed(data[:size])
+            data = data[size:]
+        received += decoder.feed(data)
+        self.assertEqual(received, MESSAGES)
+
+    @settings(derandomize=True, deadline=None, max_examples=300)
+    @given(st.binary(max_size=64))
+    def test_random_bytes_are_messages_or_corrupt(self, data):
+        try:
+            FrameDecoder(max_bytes=1024).feed(data)
+        except CorruptFrame:
+            pass
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/goldcresthoist/links/tests/test_links.py
+++ b/goldcresthoist/links/tests/test_links.py
@@ -15,6 +15,7 @@
     encode_frame,
 )
 from goldcresthoist.links.tests.builders import LinkCase, make_open
+from goldcresthoist.tests.cluster import eventually
 
 
 class HandshakeTest(LinkCase):
@@ -42,15 +43,15 @@
                 except ConnectionError:
                     pass
                 writer.close()
-        await self.eventually(lambda: not self.server.links)
+        await eventually(lambda: not self.server.links)
         self.assertEqual(self.counters.total("links_rejected"), 4)
 
     async def test_silent_peer_is_closed(self):
         _, writer = await asyncio.open_connection("127.0.0.1", self.server.port)
-        await self.eventually(lambda: self.server.links)
+        await eventually(lambda: self.server.links)
         (link,) = self.server.links
         link.close_if_silent(link.heard_at + 3.0)
-        await self.eventually(lambda: not self.server.links)
+        await eventually(lambda: not self.server.links)
         writer.close()
 
 
@@ -62,7 +63,7 @@
         link.transport.write(b"\x00\x00\x00\x02\x92\x63")
         with self.assertRaises(LinkClosed):
             await outgoing.outcome()
-        await self.eventually(lambda: self.service.cancelled == 1)
+        await eventually(lambda: self.service.cancelled == 1)
         closed = self.counters.values["links_closed", ("reason", "corrupt-frame")]
         self.assertEqual(closed, 1)
 
@@ -102,7 +103,7 @@
         incoming.reply(200, (), self.service.load_report(), b"", False)
         size = 4 * STREAM_CREDIT_BYTES
         sender = asyncio.create_task(incoming.send_body(bytes(size), True))
-        await self.eventually(lambda: outgoing.body.size == STREAM_CREDIT_BYTES)
+        await eventually(lambda: outgoing.body.size == STREAM_CREDIT_BYTES)
         self.assertFalse(sender.done())
         self.assertTrue(
             all(len(chunk) <= MAX_BODY_BYTES for chunk in outgoing.body.chunks)
@@ -120,7 +121,7 @@
             await asyncio.sleep(0)
         self.assertEqual(incoming.body.size, 0)
         incoming.admit()
-        await self.eventually(lambda: incoming.body.ended)
+        await eventually(lambda: incoming.body.ended)
         await sender
         self.assertEqual(incoming.body.size, 100_000)
 
@@ -134,10 +135,10 @@
     async def test_cancelled_call_takes_no_late_answer(self):
         link, outgoing, incoming = await self.open_call()
         outgoing.cancel()
-        await self.eventually(lambda: self.service.cancelled == 1)
+        await eventually(lambda: self.service.cancelled == 1)
         incoming.reply(200, (), self.service.load_report(), b"late", True)
         second = link.call(make_open)
-        await self.eventually(lambda: len(self.service.calls) == 2)
+        await eventually(lambda: len(self.service.calls) == 2)
         self.service.calls[1].reply(201, (), self.service.load_report(), b"", True)
         self.assertEqual((await second.outcome()).status, 201)
         self.assertEqual(outgoing.body.size, 0)
@@ -155,13 +156,13 @@
         self.assertLess(link.silent_for(now), 1.0)
         self.assertGreaterEqual(link.silent_for(now + 1.0), 0.999)
         peer.transport.resume_reading()
-        await self.eventually(lambda: link.silent_for(now + 1.0) == 0.0)
+        await eventually(lambda: link.silent_for(now + 1.0) == 0.0)
 
     async def test_draining_is_told_at_once_and_opens_are_refused(self):
         link = await self.open_link()
         self.service.draining = True
         self.server.announce_load()
-        await self.eventually(lambda: self.loads and self.loads[-1].draining)
+        await eventually(lambda: self.loads and self.loads[-1].draining)
         outgoing = link.call(make_open)
         refusal = await outgoing.outcome()
         self.assertEqual(refusal.code, "draining")
@@ -178,7 +179,7 @@
         peer.transport.abort()
         with self.assertRaises(LinkClosed):
             await outgoing.outcome()
-        await self.eventually(lambda: self.service.cancelled == 1)
+        await eventually(lambda: self.service.cancelled == 1)
         with self.assertRaises(LinkClosed):
             link.call(make_open)
 
--- a/goldcresthoist/tests/cluster.py
+++ b/goldcresthoist/tests/cluster.py
@@ -8,10 +8,11 @@
 from goldcresthoist.tests.processes import make_member, make_plan, make_service
 from goldcresthoist.tests.standins.upstream import UpstreamStandIn
 
-__all__ = ["Answer", "ClusterCase", "RawCaller"]
+__all__ = ["PATIENCE_S", "Answer", "ClusterCase", "RawCaller", "eventually"]
 
 # Far beyond what any step takes, so that a busy machine does not change the verdict.
 PATIENCE_S = 60.0
+POLL_INTERVAL_S = 0.005
 
 
 class Answer:
@@ -143,13 +144,14 @@
         self.addAsyncCleanup(caller.close)
         return caller
 
-    async def eventually(self, condition):
-        """Wait until ``condition()`` is true."""
-        async with asyncio.timeout(PATIENCE_S):
-            while True:
-                if condition():
-                    return
-                await asyncio.sleep(0.005)
+
+async def eventually(condition):
+    """Wait until ``condition()`` is true."""
+    async with asyncio.timeout(PATIENCE_S):
+        while True:
+            if condition():
+                return
+            await asyncio.sleep(POLL_INTERVAL_S)
 
 
 async def stop_standin(standin):
--- /dev/null
+++ b/goldcresthoist/upstreams/tests/test_pool.py
@@ -0,0 +1,197 @@
+"""Tests of the connections to the own upstream."""
+
+import asyncio
+import unittest
+
+from goldcresthoist.links.frames import Open
+from goldcresthoist.tests.cluster import PATIENCE_S, eventually
+from goldcresthoist.upstreams import (
+    ConnectionPool,
+    RequestWriter,
+    UpstreamBroken,
+    UpstreamUnreachable,
+)
+
+OK = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+REQUEST = b"GET / HTTP/1.1\r\nHost: a\r\n\r\n"
+
+
+def make_open(headers=(), body=b"", end=True, method="PUT"):
+    """Return a call with a body."""
+    return Open(1, "s", "w", method, "/", headers, 1, "", b"", 0, body, end)
+
+
+class PoolCase(unittest.IsolatedAsyncioTestCase):
+    """A raw upstream whose answers tests write themselves."""
+
+    async def asyncSetUp(self):
+        self.writers = asyncio.Queue()
+        self.server = await asyncio.start_server(self.accept, "127.0.0.1", 0)
+        port = self.server.sockets[0].getsockname()[1]
+        self.pool = ConnectionPool("127.0.0.1", port)
+        self.open_writers = []
+        self.readers = set()
+        self.addAsyncCleanup(self.end_readers)
+        self.addAsyncCleanup(self.pool.close)
+
+    async def accept(self, reader, writer):
+        """Keep the writer of a connection."""
+        self.open_writers.append(writer)
+        self.readers.add(asyncio.current_task())
+        while await reader.read(65536):
+            self.writers.put_nowait(writer)
+        writer.close()
+
+    async def start_exchange(self):
+        """Send a request; return the connection and the upstream's writer."""
+        connection = self.pool.acquire_idle() or await self.pool.acquire()
+        connection.send(REQUEST, False)
+        return connection, await asyncio.wait_for(self.writers.get(), PATIENCE_S)
+
+    async def end_readers(self):
+        """Let the reading tasks end."""
+        self.end_upstream()
+        await asyncio.gather(*self.readers, return_exceptions=True)
+
+    def end_upstream(self):
+        """Close the listener and every connection, as a crash does."""
+        self.server.close()
+        for writer in self.open_writers:
+            writer.transport.abort()
+
+
+class ReuseTest(PoolCase):
+    """Guards against an answer that is taken for that of another request."""
+
+    async def test_complete_exchange_is_reused(self):
+        connection, writer = await self.start_exchange()
+        writer.write(OK)
+        answer = await connection.head()
+        self.assertEqual((answer.status, await answer.body.read()), (200, b"ok"))
+        self.pool.release(connection)
+        self.assertIn(connection, self.pool.idle)
+
+    async def test_unexpected_bytes_end_the_connection(self):
+        connection, writer = await self.start_exchange()
+        writer.write(OK)
+        await connection.head()
+        self.pool.release(connection)
+        writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 6\r\n\r\nforged")
+        await eventually(lambda: connection.closed)
+        self.assertNotIn(connection, self.pool.idle)
+
+    async def test_unread_bytes_are_seen_before_reuse(self):
+        connection, writer = await self.start_exchange()
+        writer.write(OK)
+        await connection.head()
+        self.pool.release(connection)
+        # The event loop has not looked at the socket when the next call asks.
+        connection.transport.pause_reading()
+        writer.write(b"surplus")
+        await writer.drain()
+        await eventually(lambda: not connection.is_clean())
+        self.pool.idle[:] = [connection]
+        self.assertIsNone(self.pool.acquire_idle())
+
+    async def test_cancelled_exchange_is_closed(self):
+        connection, writer = await self.start_exchange()
+        self.pool.release(connection)
+        await eventually(lambda: connection.closed)
+        self.assertNotIn(connection, self.pool.idle)
+
+    async def test_answers_that_cannot_be_trusted(self):
+        head = b"HTTP/1.1 200 OK\r\n"
+        for data in (
+            b"not http\r\n\r\n",
+            head + b"\r\nuntil close",
+            head + b"Content-Length: 1\r\nContent-Length: 2\r\n\r\nx",
+            head + b"Content-Length: 2\r\nTransfer-Encoding: chunked\r\n\r\n",
+            head + b"Transfer-Encoding: gzip\r\n\r\n",
+            head + b"X: " + b"x" * 100_000,
+            b"HTTP/1.1 101 Switching Protocols\r\nUpgrade: x\r\n\r\n",
+        ):
+            with self.subTest(data=data[:60]):
+                connection, writer = await self.start_exchange()
+                writer.write(data)
+                with self.assertRaises(UpstreamBroken):
+                    await asyncio.wait_for(connection.head(), PATIENCE_S)
+                self.pool.release(connection)
+                self.assertNotIn(connection, self.pool.idle)
+
+    async def test_interim_answer_is_skipped(self):
+        connection, writer = await self.start_exchange()
+        writer.write(b"HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n" + OK)
+        answer = await connection.head()
+        self.assertEqual(answer.status, 200)
+        self.assertEqual(answer.headers, [(b"content-length", b"2")])
+
+    async def test_close_is_honoured(self):
+        connection, writer = await self.start_exchange()
+        writer.write(OK.replace(b"\r\n\r\n", b"\r\nConnection: close\r\n\r\n"))
+        await connection.head()
+        self.pool.release(connection)
+        self.assertNotIn(connection, self.pool.idle)
+
+    async def test_truncated_body_is_an_error(self):
+        connection, writer = await self.start_exchange()
+        writer.write(OK[:-1])
+        answer = await connection.head()
+        writer.close()
+        with self.assertRaises(UpstreamBroken):
+            while await answer.body.read():
+                pass
+
+
+class CrashTest(PoolCase):
+    """Guards against crashes that are missed and closed connections taken for one."""
+
+    async def test_end_of_the_upstream_is_a_crash(self):
+        connection, _ = await self.start_exchange()
+        await eventually(lambda: len(self.open_writers) > 1)
+        self.end_upstream()
+        await eventually(lambda: connection.closed)
+        self.assertTrue(connection.lost_by_peer)
+        self.assertTrue(await self.pool.crashed(connection))
+
+    async def test_one_closed_connection_is_none(self):
+        connection, writer = await self.start_exchange()
+        writer.transport.abort()
+        await eventually(lambda: connection.closed)
+        self.assertFalse(await self.pool.crashed(connection))
+
+    async def test_unreachable_upstream(self):
+        self.end_upstream()
+        await self.server.wait_closed()
+        with self.assertRaises(UpstreamUnreachable):
+            await self.pool.acquire()
+
+    async def test_connections_are_limited(self):
+        self.pool.limit = 2
+        await self.pool.acquire()
+        await self.pool.acquire()
+        with self.assertRaises(UpstreamUnreachable):
+            await self.pool.acquire()
+
+
+class RequestWriterTest(unittest.TestCase):
+    """Guards against bodies whose length differs from what was announced."""
+
+    def test_surplus_and_missing_bytes(self):
+        length = ((b"content-length", b"3"),)
+        for call in (make_open(length, b"1234"), make_open(length, b"12")):
+            with self.assertRaises(UpstreamBroken):
+                RequestWriter(call, 1).start()
+
+    def test_unknown_length_is_chunked(self):
+        writer = RequestWriter(make_open((), b"ab", end=False), 1)
+        self.assertTrue(writer.start().endswith(b"chunked\r\n\r\n2\r\nab\r\n"))
+        self.assertEqual(writer.frame(b"c"), b"1\r\nc\r\n")
+        self.assertEqual(writer.finish(), b"0\r\n\r\n")
+
+    def test_whole_body_has_a_length(self):
+        data = RequestWriter(make_open((), b"ab"), 1).start()
+        self.assertIn(b"content-length: 2\r\n", data)
+
+
+if __name__ == "__main__":
+    unittest.main()
