--- a/goldcresthoist/daemon/assembly.py
+++ b/goldcresthoist/daemon/assembly.py
@@ -8,6 +8,7 @@
     Chooser,
     CrashSuspects,
     RetryBudget,
+    SuspectRecord,
     policy_named,
 )
 from goldcresthoist.balance.suspects import EXPIRY_S
@@ -156,9 +157,13 @@
                     suspects = await peer.crash_suspects()
             except Exception:  # noqa: BLE001
                 continue
-            now = monotonic()
-            for item in suspects:
-                self.suspects.learn(item.fingerprint, item.count, now)
+            self.suspects.load(
+                [
+                    SuspectRecord(i.fingerprint, i.count, EXPIRY_S - i.age_s)
+                    for i in suspects
+                ],
+                monotonic(),
+            )
             return
 
     async def close(self):
