--- a/goldcresthoist/daemon/serving.py
+++ b/goldcresthoist/daemon/serving.py
@@ -3,14 +3,13 @@
 import asyncio
 from time import monotonic
 
-from loguru import logger
-
 from goldcresthoist.balance import AdmissionRefused, Draining, Saturated
 from goldcresthoist.config.model import AtMostOnce, Upload
 from goldcresthoist.daemon.kinds import KEYED
 from goldcresthoist.daemon.once import OnceRunner
 from goldcresthoist.daemon.upstream_call import UpstreamCall
 from goldcresthoist.links.frames import FailureKind, LoadReport
+from goldcresthoist.telemetry import log_event
 
 __all__ = ["CallServer"]
 
@@ -67,6 +66,7 @@
         self.draining = False
         self.loop = asyncio.get_running_loop()
         self.kept = set()
+        self.suspect_waiters = []
         # Calls at the upstream. Their deadlines are checked by one task, since a timer
         # for each call costs more than the check.
         self.active = set()
@@ -95,11 +95,12 @@
         """Count a request that was running when another upstream crashed."""
         self.counters.add("crash_suspects")
         self.suspects.learn(fingerprint, count, monotonic())
-        logger.warning(
-            "event=crash-suspect fingerprint={} count={} instance={}",
-            fingerprint.hex(),
-            count,
-            instance,
+        log_event(
+            "warning",
+            "crash suspect",
+            fingerprint=fingerprint,
+            count=count,
+            instance=instance,
         )
 
     async def close(self):
@@ -113,7 +114,7 @@
         try:
             await self._admit(call)
         except Exception as exc:
-            logger.exception("event=call-error service={}", self.service)
+            log_event("error", "call failed", service=self.service, error=exc)
             if not call.done:
                 call.fail(FailureKind.BROKEN, repr(exc), self.load_report())
 
@@ -132,13 +133,22 @@
             # Two copies of a suspect could end two upstreams before either is counted.
             self._refuse(call, "saturated", "a crash suspect is not hedged")
             return
+        if not await self._take_suspect_turn(message, deadline):
+            text = "other requests that may crash the upstream run first"
+            self._refuse(call, "saturated", text, SUSPECT_RETRY_MS)
+            return
+        slot = None
         try:
+            now = monotonic()
             slot = self.admission.acquire_nowait(rule, deadline, now)
             if slot is None:
                 slot = await self.admission.acquire(rule, deadline, now)
         except AdmissionRefused as exc:
             self._refuse_admission(call, exc)
             return
+        finally:
+            if slot is None:
+                self._end_suspect(message.fingerprint, False)
         self.running += 1
         self.idle.clear()
         if isinstance(rule.kind, KEYED):
@@ -146,21 +156,32 @@
         else:
             await self._run_in_slot(call, rule, deadline, slot)
 
+    async def _take_suspect_turn(self, message, deadline):
+        """Wait until no other suspect runs; return at once for other requests."""
+        start = self.suspects.try_start
+        while not start(message.fingerprint, monotonic(), message.crash_count):
+            waiter = self.loop.create_future()
+            self.suspect_waiters.append(waiter)
+            timeout_s = deadline - monotonic()
+            done, _ = await asyncio.wait((waiter,), timeout=timeout_s)
+            if not done:
+                return False
+        return True
+
+    def _end_suspect(self, fingerprint, succeeded):
+        self.suspects.end(fingerprint, succeeded)
+        if self.suspect_waiters and self.suspects.running is None:
+            waiters, self.suspect_waiters = self.suspect_waiters, []
+            for waiter in waiters:
+                if not waiter.done():
+                    waiter.set_result(None)
+
     async def _run_in_slot(self, call, rule, deadline, slot):
-        fingerprint = call.open.fingerprint
         succeeded = False
         try:
-            now = monotonic()
-            crashes = call.open.crash_count
-            if not self.suspects.try_start(fingerprint, now, crashes):
-                message = "another request that may crash the upstream runs here"
-                self._refuse(call, "saturated", message, SUSPECT_RETRY_MS)
-                return
-            try:
-                succeeded = await self._run(call, rule, deadline)
-            finally:
-                self.suspects.end(fingerprint, succeeded)
+            succeeded = await self._run(call, rule, deadline)
         finally:
+            self._end_suspect(call.open.fingerprint, succeeded)
             self.admission.release(slot, monotonic())
             self.running -= 1
             if not self.running:
--- a/goldcresthoist/daemon/upload_entry.py
+++ b/goldcresthoist/daemon/upload_entry.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import re
-from time import monotonic
 
 from goldcresthoist.callers import BadRequest, CallerRequest
 from goldcresthoist.daemon.answers import refusal_from_frame
@@ -16,11 +15,10 @@
     Receiving,
     Verified,
 )
+from goldcresthoist.streams import BodyStream
 
-__all__ = ["UPLOAD_METHODS", "UploadEntry"]
+__all__ = ["UploadEntry"]
 
-# Methods besides that of the work itself.
-UPLOAD_METHODS = ("PATCH", "HEAD")
 LENGTH_HEADER = b"goldcrest-upload-length"
 DIGEST_HEADER = b"goldcrest-upload-digest"
 OFFSET_HEADER = b"goldcrest-upload-offset"
@@ -52,9 +50,10 @@
         self.is_gone = is_gone
         self.counters = counters
 
-    async def handle(self, request, exchange, route, rule, head, target):
-        """Answer one request of upload work."""
-        upload = _Upload(self, request, exchange, route, rule, head, target)
+    async def handle(self, call):
+        """Answer one request of upload work; ``call`` is its `RoutedCall`."""
+        request = call.request
+        upload = _Upload(self, call)
         if request.method == "HEAD":
             await upload.tell_offset()
         elif request.method == "PATCH":
@@ -68,19 +67,19 @@
 class _Upload:
     """One request of an upload."""
 
-    def __init__(self, entry, request, exchange, route, rule, head, target):
+    def __init__(self, entry, call):
         self.entry = entry
         self.receiver = entry.receiver
-        self.request = request
-        self.exchange = exchange
-        self.route = route
-        self.rule = rule
-        self.head = head
-        self.target = target
-        self.service = route.name
-        self.key = head.key
+        self.call = call
+        self.request = call.request
+        self.exchange = call.exchange
+        self.rule = call.rule
+        self.target = call.target
+        self.service = call.route.name
+        self.key = call.key
         self.loop = asyncio.get_running_loop()
-        self.deadline = self.loop.time() + (head.deadline_s or rule.longest_s)
+        # The clocks of the loop and of `monotonic` are the same, but for rounding.
+        self.deadline = call.deadline
 
     async def tell_offset(self):
         """Answer with the number of bytes that are stored."""
@@ -155,21 +154,15 @@
         if not isinstance(result, Verified):
             self._answer(result)
             return
-        deadline = monotonic() + self.deadline - self.loop.time()
         call = RoutedCall(
             self.entry.router,
-            self.route,
+            self.call.route,
             self.rule,
             self._upstream_request(),
             self.exchange,
-            deadline,
+            self.target,
         )
-        call.target = self.target
-        call.headers = tuple(
-            item for item in self.head.headers if item[0] not in _OWN_HEADERS
-        )
-        call.key = self.key
-        call.body_complete = True
+        call.deadline = self.deadline
         call.fingerprint = fingerprint(
             self.service, self.rule.method, self.target, length, result.sha256.encode()
         )
@@ -179,8 +172,16 @@
             call.on_deadline()
 
     def _upstream_request(self):
+        """Return the request without its body, which is in the object store."""
         request = CallerRequest()
         request.method = self.rule.method
+        request.key = self.key
+        request.request_id = self.request.request_id
+        request.headers = tuple(
+            item for item in self.request.headers if item[0] not in _OWN_HEADERS
+        )
+        request.body = BodyStream()
+        request.body.end()
         return request
 
     def _acknowledge(self, status, offset, length):
