--- a/goldcresthoist/gossip/probing.py
+++ b/goldcresthoist/gossip/probing.py
@@ -7,10 +7,18 @@
 from goldcresthoist.gossip.member import MemberState
 from goldcresthoist.gossip.messages import IndirectProbe, Probe
 
-__all__ = ["expire_suspicions", "forget_members", "probe_dead", "probe_members"]
+__all__ = [
+    "choose_dead",
+    "dead_probes_per_s",
+    "expire_suspicions",
+    "forget_members",
+    "probe_dead",
+    "probe_members",
+]
 
 # Below this many live peers, silence is more likely their failure than this daemon's.
 MIN_PEERS_TO_BE_ISOLATED = 3
+LOST_DOMAIN_WEIGHT = 2
 
 
 async def probe_members(exchange):
@@ -80,19 +88,48 @@
 
 
 async def probe_dead(exchange):
-    """Probe dead members rarely, so that those that return are discovered.
-
-    The rate falls with the number of live members that share the work.
-    """
+    """Probe dead members rarely, so that those that return are discovered."""
     view, options = exchange.view, exchange.options
     while True:
         await asyncio.sleep(options.probe_interval_s)
-        rate = options.dead_probe_rate * len(view.roster.dead) / view.population()
-        if random.random() >= rate * options.probe_interval_s:
+        if random.random() >= dead_probes_per_s(view, options):
             continue
-        slot = view.roster.random_dead()
-        probe = Probe(new_nonce())
-        exchange.send_to(slot, probe, states=_accusation(view, slot), updates=False)
+        if (slot := choose_dead(view)) is not None:
+            probe = Probe(new_nonce())
+            accusation = _accusation(view, slot)
+            exchange.send_to(slot, probe, states=accusation, updates=False)
+
+
+def dead_probes_per_s(view, options):
+    """Return how often this daemon probes dead members.
+
+    All live members share the work. A lost domain counts as a few members only: one
+    that answers shows that the domain is back, and a probe of each member would make
+    each of them refute.
+    """
+    weight = sum(weight for _, weight in _dead_weights(view))
+    return options.dead_probe_rate * weight / view.population()
+
+
+def choose_dead(view):
+    """Return a random dead slot with the chances that `dead_probes_per_s` implies."""
+    numbers = _dead_weights(view)
+    if not numbers:
+        return None
+    domains, weights = zip(*numbers, strict=True)
+    domain = random.choices(domains, weights)[0]
+    slots = [slot for slot in view.roster.dead if view.roster.domains[slot] == domain]
+    return random.choice(slots)
+
+
+def _dead_weights(view):
+    """Return pairs of domain number and the members it counts as."""
+    weights = []
+    for number, counts in enumerate(view.roster.domain_counts):
+        if dead := counts[MemberState.DEAD]:
+            lost = view.roster.domain_names[number] in view.lost_domains
+            weights.append((number, min(dead, LOST_DOMAIN_WEIGHT) if lost else dead))
+    return weights
 
 
 async def expire_suspicions(exchange):
--- a/goldcresthoist/gossip/roster.py
+++ b/goldcresthoist/gossip/roster.py
@@ -121,10 +121,6 @@
         number = self.domain_names.index(domain)
         return [slot for slot in self.live if self.domains[slot] == number]
 
-    def random_dead(self):
-        """Return a random dead slot, or None."""
-        return random.choice(self.dead) if self.dead else None
-
     def put(self, record, incarnation, state, now):
         """Add a member, or replace its record, and return its slot."""
         data, check = record.encode()
--- a/goldcresthoist/gossip/updates.py
+++ b/goldcresthoist/gossip/updates.py
@@ -22,11 +22,12 @@
     def __init__(self):
         self.levels = ([], [])
         self.place = {}
+        self.limits = {}
 
     def __len__(self):
         return len(self.place)
 
-    def put(self, key, data, own_service):
+    def put(self, key, data, own_service, limit=None):
         """Add an update.
 
         Parameters
@@ -35,8 +36,12 @@
             Key of the member it is about.
         data : bytes
         own_service : bool
+        limit : int, optional
+            Times that this update is sent, if fewer than others.
         """
         self.discard(key)
+        if limit is not None:
+            self.limits[key] = limit
         self._insert(key, data, 0 if own_service else 1, 0)
 
     def discard(self, key):
@@ -44,6 +49,12 @@
         if place := self.place.pop(key, None):
             rank, level = place
             del self.levels[rank][level][key]
+            self.limits.pop(key, None)
+
+    def discard_limited(self):
+        """Remove the updates that have a limit of their own."""
+        for key in tuple(self.limits):
+            self.discard(key)
 
     def data_of(self, key):
         """Return the update that waits about a member, or None."""
@@ -78,8 +89,10 @@
         for key, data, rank, level in picked:
             del self.levels[rank][level][key]
             del self.place[key]
-            if level + 1 < limit:
+            if level + 1 < min(limit, self.limits.get(key, limit)):
                 self._insert(key, data, rank, level + 1)
+            else:
+                self.limits.pop(key, None)
         return [data for _, data, _, _ in picked]
 
     def _pick(self, size):
--- a/goldcresthoist/gossip/view.py
+++ b/goldcresthoist/gossip/view.py
@@ -1,7 +1,7 @@
 """What one daemon believes of all members, and how updates change it."""
 
 import zlib
-from math import log10
+from math import ceil, log2, log10
 
 import msgspec
 
@@ -200,6 +200,9 @@
             for callback in tuple(self.subscribers):
                 callback(member)
         if returns:
+            if lost:
+                # Deaths by the partition must not cross it when it heals.
+                self.queue.discard_limited()
             for callback in tuple(self.on_return):
                 callback(slot)
 
@@ -226,7 +229,18 @@
         else:
             data = self.roster.update_of(slot).pack()
         own_service = self.roster.record(slot).service == self.record.service
-        self.queue.put(key, data, own_service)
+        self.queue.put(key, data, own_service, self._limit_for(slot))
+
+    def _limit_for(self, slot):
+        """Return how often the death of a member of a lost domain is sent.
+
+        Fewer times than other updates: there are many of them, and daemons that miss
+        some take them over by sync.
+        """
+        dead = self.roster.states[slot] == MemberState.DEAD
+        if dead and self.roster.domain_of(slot) in self.lost_domains:
+            return ceil(log2(self.population() + 1))
+        return None
 
     def _announce_self(self, full):
         if full or self._record_waits(self.key):
