Name the probed member in probes and keep the last members of a lost domain

Cause: a new daemon at the address of one that ended answered the probes for the old one, which then stayed alive; a domain away for longer than 2 h was forgotten completely and could not be found again. Change: a probe carries the key of the member it is meant for; eight dead members of a lost domain are kept. Probes and acks carry no updates while the byte ceiling is overdrawn. A socket that cannot be bound raises the package's own error.

--- a/goldcresthoist/bench/_model.py
+++ b/goldcresthoist/bench/_model.py
@@ -72,6 +72,8 @@
     def __init__(self, model, member):
         self.domain = member.failure_domain
         self.membership = Membership(member, KEY, wall_clock=lambda: 1.7e9)
+        # A representative also answers the probes of the members it stands for.
+        self.membership.answering.is_own = lambda key: True
         self.holder = ConfigurationHolder()
         self.service = ControlService(self.membership, self.holder)
         self.client = _ModelClient(model, self)
--- a/goldcresthoist/control/service.py
+++ b/goldcresthoist/control/service.py
@@ -15,6 +15,7 @@
 from goldcresthoist.control import methods
 from goldcresthoist.control.codec import SealedCodec
 from goldcresthoist.control.counting import count_domain
+from goldcresthoist.control.errors import ControlError
 from goldcresthoist.gossip.exchange import format_address
 from goldcresthoist.gossip.messages import STATE_UPDATE
 from goldcresthoist.gossip.reconcile import differing_buckets, merge_entries
@@ -193,10 +194,19 @@
         self.server = Server([service], codec=self.codec, config=config)
 
     async def start(self, address):
-        """Listen at ``"ip:port"``; port 0 takes a free one."""
+        """Listen at ``"ip:port"``; port 0 takes a free one.
+
+        Raises
+        ------
+        ControlError
+            When the address cannot be bound.
+        """
         host, port = split_address(address)
         family = socket.AF_INET6 if ":" in host else socket.AF_INET
-        self.socket = socket.create_server((host, port), family=family)
+        try:
+            self.socket = socket.create_server((host, port), family=family)
+        except OSError as exc:
+            raise ControlError(f"cannot bind {address}: {exc}") from exc
         await self.server.start(sock=self.socket)
 
     def address(self):
--- a/goldcresthoist/control/tests/test_configuration.py
+++ b/goldcresthoist/control/tests/test_configuration.py
@@ -90,6 +90,19 @@
         await asyncio.sleep(0.01)
         self.assertEqual(in_force([nodes[1]]), {1})
 
+    @virtual_time
+    async def test_domain_that_was_cut_off_catches_up_within_the_limit(self):
+        fleet = Fleet()
+        near, far = await fleet.add_many(7, "d1"), await fleet.add_many(4, "d2")
+        await until(fleet.cluster.all_alive)
+        fleet.cut(near, far)
+        await asyncio.sleep(120)
+        near[0].fetcher.put("t", 1, make_content("t"))
+        await asyncio.sleep(20)
+        self.assertEqual(in_force(far), {0})
+        fleet.cluster.network.heal()
+        await until(lambda: in_force(far) == {1}, 4)
+
 
 class CatchUpTest(unittest.TestCase):
     """Guards against a new daemon that starts with an old configuration."""
--- a/goldcresthoist/gossip/answering.py
+++ b/goldcresthoist/gossip/answering.py
@@ -52,12 +52,13 @@
     def handle(self, packet, address):
         """Answer one accepted packet."""
         match packet.message:
-            case Probe(nonce):
-                self._ack(packet, nonce, address)
+            case Probe(nonce, target):
+                if self.is_own(target):
+                    self._ack(packet, nonce, address)
             case Ack():
                 self._acknowledged(packet, address)
-            case IndirectProbe(nonce, _, target_address):
-                self._relay(nonce, target_address, address)
+            case IndirectProbe():
+                self._relay(packet.message, address)
             case Join():
                 self._reply_to_join(packet, address)
             case JoinReply(nonce) | VersionAnswer(nonce):
@@ -76,6 +77,10 @@
         self._compare_versions(packet, address)
         self.on_packet(packet)
 
+    def is_own(self, key):
+        """Return whether a probe for a key is meant for this daemon."""
+        return key == self.view.key
+
     def _ack(self, packet, nonce, address):
         unknown = self.view.roster.slot_of(packet.sender) is None
         states = self.view.correction_for(packet)
@@ -91,16 +96,16 @@
         elif correction := self.view.correction_for(packet):
             self.exchange.send(Gossip(), address, correction)
 
-    def _relay(self, nonce, target_address, address):
+    def _relay(self, message, address):
         try:
-            check_address(target_address)
+            check_address(message.address)
         except ValueError as exc:
             raise CorruptDatagram(f"indirect probe of no address: {exc}") from exc
         if len(self.relays) >= MAX_RELAYS:
             del self.relays[next(iter(self.relays))]
         own_nonce = new_nonce()
-        self.relays[own_nonce] = (nonce, address)
-        self.exchange.send(Probe(own_nonce), target_address)
+        self.relays[own_nonce] = (message.nonce, address)
+        self.exchange.send(Probe(own_nonce, message.target), message.address)
 
     def _forward(self, ack):
         if relay := self.relays.pop(ack.nonce, None):
--- a/goldcresthoist/gossip/exchange.py
+++ b/goldcresthoist/gossip/exchange.py
@@ -89,13 +89,16 @@
             return
         self.sequence += 1
         packet = self._packet(message, states, members)
-        if updates and len(self.view.queue):
+        room = self.ceiling.available(self.view.now()) > 0
+        if updates and room and len(self.view.queue):
             packet = self._with_updates(packet, states, members)
         data = self.sealer.seal(packet, format_address(split_address(address)))
-        self.ceiling.available(self.view.now())
         self.ceiling.spend(len(data) + HEADER_BYTES)
         self.bytes_sent += len(data) + HEADER_BYTES
-        self.transport.sendto(data, split_address(address))
+        try:
+            self.transport.sendto(data, split_address(address))
+        except OSError as exc:
+            self.error_received(exc)
 
     def send_to(self, slot, message, **kwargs):
         """Send a message to the member in a slot."""
--- a/goldcresthoist/gossip/membership.py
+++ b/goldcresthoist/gossip/membership.py
@@ -7,6 +7,7 @@
 from goldcresthoist.config import split_address
 from goldcresthoist.gossip._supervision import keep_running
 from goldcresthoist.gossip.answering import Answering
+from goldcresthoist.gossip.errors import GossipError
 from goldcresthoist.gossip.exchange import Exchange, new_nonce
 from goldcresthoist.gossip.joining import join_peers
 from goldcresthoist.gossip.member import Member, MemberState
@@ -60,8 +61,8 @@
         )
         self.version_subscribers = []
         self.packet_subscribers = []
-        answering = Answering(self.exchange, self._on_versions, self._on_packet)
-        self.exchange.handler = answering.handle
+        self.answering = Answering(self.exchange, self._on_versions, self._on_packet)
+        self.exchange.handler = self.answering.handle
         self.tasks = []
 
     @classmethod
@@ -86,13 +87,15 @@
         return self.exchange.dropped
 
     async def start(self):
-        """Open the socket and start the tasks."""
+        """Open the socket and start the tasks.
+
+        Raises
+        ------
+        GossipError
+            When the gossip address cannot be bound.
+        """
         if self.exchange.transport is None:
-            address = split_address(self.view.record.gossip_address)
-            loop = asyncio.get_running_loop()
-            await loop.create_datagram_endpoint(
-                lambda: self.exchange, local_addr=address
-            )
+            await self._open_socket()
         self.resume()
 
     def resume(self):
@@ -242,6 +245,16 @@
         answer = await self.exchange.request(query, address, timeout_s)
         return None if answer is None else answer.version
 
+    async def _open_socket(self):
+        address = self.view.record.gossip_address
+        loop = asyncio.get_running_loop()
+        try:
+            await loop.create_datagram_endpoint(
+                lambda: self.exchange, local_addr=split_address(address)
+            )
+        except OSError as exc:
+            raise GossipError(f"cannot bind gossip_address {address}: {exc}") from exc
+
     def _run(self, coroutine):
         task = asyncio.get_running_loop().create_task(coroutine)
         self.tasks.append(task)
--- a/goldcresthoist/gossip/messages.py
+++ b/goldcresthoist/gossip/messages.py
@@ -99,9 +99,13 @@
 
 
 class Probe(msgspec.Struct, frozen=True, array_like=True, tag=1):
-    """Asks the receiver for an `Ack`."""
+    """Asks the member with the key ``target`` for an `Ack`.
+
+    Without it, a new daemon at the address of one that ended would answer for it.
+    """
 
     nonce: int
+    target: int
 
 
 class Ack(msgspec.Struct, frozen=True, array_like=True, tag=2):
@@ -115,7 +119,7 @@
     """Asks the receiver to probe a third daemon and to forward its answer."""
 
     nonce: int
-    target: str
+    target: int
     address: str
 
 
--- a/goldcresthoist/gossip/probing.py
+++ b/goldcresthoist/gossip/probing.py
@@ -19,6 +19,7 @@
 # Below this many live peers, silence is more likely their failure than this daemon's.
 MIN_PEERS_TO_BE_ISOLATED = 3
 LOST_DOMAIN_WEIGHT = 2
+KEPT_OF_LOST_DOMAIN = 8
 
 
 async def probe_members(exchange):
@@ -39,7 +40,7 @@
     record = view.roster.record(slot)
     started = view.now()
     states = _accusation(view, slot)
-    probe = Probe(new_nonce())
+    probe = Probe(new_nonce(), key)
     address = record.gossip_address
     timeout = options.probe_timeout_s
     if await exchange.request(probe, address, timeout, states=states):
@@ -62,7 +63,8 @@
 async def _probe_indirectly(exchange, slot, record):
     options = exchange.options
     nonce = new_nonce()
-    message = IndirectProbe(nonce, record.instance, record.gossip_address)
+    key = exchange.view.roster.keys[slot]
+    message = IndirectProbe(nonce, key, record.gossip_address)
     answer = asyncio.get_running_loop().create_future()
     exchange.waiting[nonce] = answer
     try:
@@ -95,7 +97,7 @@
         if random.random() >= dead_probes_per_s(view, options):
             continue
         if (slot := choose_dead(view)) is not None:
-            probe = Probe(new_nonce())
+            probe = Probe(new_nonce(), view.roster.keys[slot])
             accusation = _accusation(view, slot)
             exchange.send_to(slot, probe, states=accusation, updates=False)
 
@@ -152,5 +154,10 @@
     view, options = exchange.view, exchange.options
     while True:
         await asyncio.sleep(options.forget_interval_s)
+        kept = {}
         for slot in view.roster.expired(view.now() - options.dead_kept_s):
-            view.roster.remove(slot)
+            domain = view.roster.domain_of(slot)
+            kept[domain] = kept.get(domain, 0) + 1
+            # The last members of a lost domain are the only way to find it again.
+            if domain not in view.lost_domains or kept[domain] > KEPT_OF_LOST_DOMAIN:
+                view.roster.remove(slot)
--- a/goldcresthoist/gossip/tests/test_membership.py
+++ b/goldcresthoist/gossip/tests/test_membership.py
@@ -132,6 +132,19 @@
             self.assertEqual(cluster.states_of(name), {MemberState.ALIVE})
         self.assertEqual(sum(node.datagrams_dropped for node in nodes), 0)
 
+    @virtual_time
+    async def test_new_daemon_does_not_answer_for_the_old_one_at_its_address(self):
+        cluster = Cluster()
+        await cluster.add_many(6)
+        await cluster.kill("d1-s-3")
+        node = Membership(make_member("new", 4), SHARED_KEY)
+        cluster.network.attach(node)
+        await node.start()
+        cluster.nodes["new"] = node
+        node.join(["10.0.0.2:7001"])
+        await until(lambda: cluster.states_of("d1-s-3") == {MemberState.DEAD}, 30)
+        await until(lambda: cluster.states_of("new") == {MemberState.ALIVE}, 30)
+
 
 class LeavingTest(unittest.TestCase):
     """Guards against work for members that drain or left."""
@@ -223,3 +236,15 @@
         self.assertEqual(far[0].counts_by_domain()["d2"].alive, 4)
         cluster.network.heal()
         await until(cluster.all_alive, 60)
+
+    @virtual_time
+    async def test_domain_is_found_again_after_its_members_were_forgotten(self):
+        cluster = Cluster(GossipOptions(dead_kept_s=120.0))
+        near = await cluster.add_many(3, "d1")
+        far = await cluster.add_many(3, "d2")
+        await until(cluster.all_alive)
+        cluster.network.cut(near, far)
+        await asyncio.sleep(600)
+        self.assertEqual(near[0].counts_by_domain()["d2"].dead, 3)
+        cluster.network.heal()
+        await until(cluster.all_alive, 60)
