--- a/goldcresthoist/gossip/probing.py
+++ b/goldcresthoist/gossip/probing.py
@@ -7,10 +7,19 @@
 from goldcresthoist.gossip.member import MemberState
 from goldcresthoist.gossip.messages import IndirectProbe, Probe
 
-__all__ = ["expire_suspicions", "forget_members", "probe_dead", "probe_members"]
+__all__ = [
+    "choose_dead",
+    "dead_probes_per_s",
+    "expire_suspicions",
+    "forget_members",
+    "probe_dead",
+    "probe_members",
+]
 
 # Below this many live peers, silence is more likely their failure than this daemon's.
 MIN_PEERS_TO_BE_ISOLATED = 3
+LOST_DOMAIN_WEIGHT = 2
+KEPT_OF_LOST_DOMAIN = 8
 
 
 async def probe_members(exchange):
@@ -31,7 +40,7 @@
     record = view.roster.record(slot)
     started = view.now()
     states = _accusation(view, slot)
-    probe = Probe(new_nonce())
+    probe = Probe(new_nonce(), key)
     address = record.gossip_address
     timeout = options.probe_timeout_s
     if await exchange.request(probe, address, timeout, states=states):
@@ -54,7 +63,8 @@
 async def _probe_indirectly(exchange, slot, record):
     options = exchange.options
     nonce = new_nonce()
-    message = IndirectProbe(nonce, record.instance, record.gossip_address)
+    key = exchange.view.roster.keys[slot]
+    message = IndirectProbe(nonce, key, record.gossip_address)
     answer = asyncio.get_running_loop().create_future()
     exchange.waiting[nonce] = answer
     try:
@@ -80,19 +90,48 @@
 
 
 async def probe_dead(exchange):
-    """Probe dead members rarely, so that those that return are discovered.
-
-    The rate falls with the number of live members that share the work.
-    """
+    """Probe dead members rarely, so that those that return are discovered."""
     view, options = exchange.view, exchange.options
     while True:
         await asyncio.sleep(options.probe_interval_s)
-        rate = options.dead_probe_rate * len(view.roster.dead) / view.population()
-        if random.random() >= rate * options.probe_interval_s:
+        if random.random() >= dead_probes_per_s(view, options):
             continue
-        slot = view.roster.random_dead()
-        probe = Probe(new_nonce())
-        exchange.send_to(slot, probe, states=_accusation(view, slot), updates=False)
+        if (slot := choose_dead(view)) is not None:
+            probe = Probe(new_nonce(), view.roster.keys[slot])
+            accusation = _accusation(view, slot)
+            exchange.send_to(slot, probe, states=accusation, updates=False)
+
+
+def dead_probes_per_s(view, options):
+    """Return how often this daemon probes dead members.
+
+    All live members share the work. A lost domain counts as a few members only: one
+    that answers shows that the domain is back, and a probe of each member would make
+    each of them refute.
+    """
+    weight = sum(weight for _, weight in _dead_weights(view))
+    return options.dead_probe_rate * weight / view.population()
+
+
+def choose_dead(view):
+    """Return a random dead slot with the chances that `dead_probes_per_s` implies."""
+    numbers = _dead_weights(view)
+    if not numbers:
+        return None
+    domains, weights = zip(*numbers, strict=True)
+    domain = random.choices(domains, weights)[0]
+    slots = [slot for slot in view.roster.dead if view.roster.domains[slot] == domain]
+    return random.choice(slots)
+
+
+def _dead_weights(view):
+    """Return pairs of domain number and the members it counts as."""
+    weights = []
+    for number, counts in enumerate(view.roster.domain_counts):
+        if dead := counts[MemberState.DEAD]:
+            lost = view.roster.domain_names[number] in view.lost_domains
+            weights.append((number, min(dead, LOST_DOMAIN_WEIGHT) if lost else dead))
+    return weights
 
 
 async def expire_suspicions(exchange):
@@ -115,5 +154,10 @@
     view, options = exchange.view, exchange.options
     while True:
         await asyncio.sleep(options.forget_interval_s)
+        kept = {}
         for slot in view.roster.expired(view.now() - options.dead_kept_s):
-            view.roster.remove(slot)
+            domain = view.roster.domain_of(slot)
+            kept[domain] = kept.get(domain, 0) + 1
+            # The last members of a lost domain are the only way to find it again.
+            if domain not in view.lost_domains or kept[domain] > KEPT_OF_LOST_DOMAIN:
+                view.roster.remove(slot)
