daemon: use the balance package in place of the interim choice

Cause: the call path chose at random with plain slots until the balance package existed.

A refusal because the upstream accepts no connections counts as a failure of the upstream; otherwise an upstream that is down would never be ejected.

--- a/goldcresthoist/daemon/attempt.py
+++ b/goldcresthoist/daemon/attempt.py
@@ -2,8 +2,8 @@
 
 from time import monotonic
 
+from goldcresthoist.balance import Outcome
 from goldcresthoist.callers import CallerError
-from goldcresthoist.daemon.interim import Outcome
 from goldcresthoist.links import CallFailed, LinkClosed, LinkError, LocalCall
 from goldcresthoist.links.frames import Failed, FailureKind, Open
 
--- a/goldcresthoist/daemon/routed_call.py
+++ b/goldcresthoist/daemon/routed_call.py
@@ -3,6 +3,7 @@
 import asyncio
 from time import monotonic
 
+from goldcresthoist.balance import Outcome
 from goldcresthoist.callers import Refusal
 from goldcresthoist.config.model import Read
 from goldcresthoist.daemon.answers import (
@@ -11,7 +12,6 @@
     refusal_from_frame,
 )
 from goldcresthoist.daemon.attempt import Attempt
-from goldcresthoist.daemon.interim import Outcome
 from goldcresthoist.daemon.kinds import REPEATABLE
 from goldcresthoist.links import CallFailed, LinkClosed, LinkError
 from goldcresthoist.links.frames import Failed, FailureKind, Head, Refuse
@@ -220,6 +220,9 @@
 
     async def _record_failure(self, attempt, outcome):
         match outcome:
+            case Refuse(code="no-upstream"):
+                # The daemon answers but its upstream does not accept connections.
+                attempt.end(Outcome.FAILED, outcome.load)
             case Refuse():
                 attempt.end(Outcome.REFUSED, outcome.load)
             case Failed(kind=FailureKind.TIMED_OUT):
--- a/goldcresthoist/daemon/routes.py
+++ b/goldcresthoist/daemon/routes.py
@@ -3,7 +3,7 @@
 import asyncio
 from time import monotonic
 
-from goldcresthoist.daemon.interim import HedgeTimer, UpstreamPool, UpstreamView
+from goldcresthoist.balance import HedgeTimer, UpstreamPool, UpstreamView
 
 __all__ = ["ServiceRoute"]
 
--- a/goldcresthoist/daemon/serving.py
+++ b/goldcresthoist/daemon/serving.py
@@ -5,7 +5,7 @@
 
 from loguru import logger
 
-from goldcresthoist.daemon.interim import AdmissionRefused, Draining, Saturated
+from goldcresthoist.balance import AdmissionRefused, Draining, Saturated
 from goldcresthoist.daemon.kinds import KEYED
 from goldcresthoist.daemon.once import OnceRunner
 from goldcresthoist.daemon.upstream_call import UpstreamCall
--- a/goldcresthoist/tests/pathnode.py
+++ b/goldcresthoist/tests/pathnode.py
@@ -11,16 +11,16 @@
 
 import msgspec
 
-from goldcresthoist.callers import CallerServer
-from goldcresthoist.config import ServiceConfiguration, split_address
-from goldcresthoist.daemon.collector import tune_collector
-from goldcresthoist.daemon.interim import (
+from goldcresthoist.balance import (
     Admission,
     Chooser,
     CrashSuspects,
     RetryBudget,
     policy_named,
 )
+from goldcresthoist.callers import CallerServer
+from goldcresthoist.config import ServiceConfiguration, split_address
+from goldcresthoist.daemon.collector import tune_collector
 from goldcresthoist.daemon.routing import CallRouter
 from goldcresthoist.daemon.serving import CallServer
 from goldcresthoist.gossip.member import Member
