--- /dev/null
+++ b/goldcresthoist/bench/load.py
@@ -0,0 +1,198 @@
+"""Open-loop load generator."""
+
+import asyncio
+import random
+import time
+from dataclasses import dataclass
+
+import httptools
+
+from goldcresthoist.bench.sites import is_long
+from goldcresthoist.bench.upstream import STRAGGLER_FACTOR
+from goldcresthoist.config.model import AtMostOnce, WorkRule
+
+__all__ = ["Arrival", "Generator", "Result", "make_arrivals"]
+
+# The daemon answers at the deadline; this much later the caller gives up.
+GRACE_S = 1.0
+SERVICE_SPREAD = (0.5, 1.5)
+
+
+@dataclass(frozen=True, slots=True)
+class Arrival:
+    """One call: when it is sent, in seconds from the start, and what it asks for."""
+
+    at_s: float
+    rule: WorkRule
+    service: str
+    service_ms: float
+    number: int
+
+
+@dataclass(slots=True)
+class Result:
+    """How one call ended. ``latency_s`` counts from the intended send time.
+
+    ``outcome`` is ``ok``, a refusal code, a status or ``lost``.
+    """
+
+    arrival: Arrival
+    outcome: str
+    latency_s: float
+
+
+def make_arrivals(service, rate_at, duration_s, rng, long_work=1.0, stragglers=0.0):
+    """Draw the calls of one service, with times between calls as in a Poisson process.
+
+    Parameters
+    ----------
+    rate_at : callable
+        Calls a second at a time since the start, in seconds.
+    long_work : float
+        Multiplies the calls of long work.
+    stragglers : float
+        Share of calls that take ``STRAGGLER_FACTOR`` times longer wherever they run.
+    """
+    arrivals = []
+    name = service.configuration.name
+    for rule in service.work:
+        share = service.mix[rule.name] * (long_work if is_long(rule) else 1.0)
+        if not share:
+            continue
+        at_s = rng.expovariate(rate_at(0.0) * share)
+        while at_s < duration_s:
+            service_ms = rule.usual_s * 1000.0 * rng.uniform(*SERVICE_SPREAD)
+            if rng.random() < stragglers:
+                service_ms *= STRAGGLER_FACTOR
+            number = rng.getrandbits(48)
+            arrivals.append(Arrival(at_s, rule, name, service_ms, number))
+            at_s += rng.expovariate(rate_at(at_s) * share)
+    return arrivals
+
+
+class _Connection(asyncio.Protocol):
+    """One persistent connection; one call at a time."""
+
+    def __init__(self):
+        self.waiter = None
+        self.parser = httptools.HttpResponseParser(self)
+        self.refusal = None
+        self.body = b""
+        self.closed = False
+
+    def connection_made(self, transport):
+        self.transport = transport
+
+    def connection_lost(self, exc):
+        self.closed = True
+        self._finish(("lost", b""))
+
+    def data_received(self, data):
+        try:
+            self.parser.feed_data(data)
+        except httptools.HttpParserError:
+            self.transport.abort()
+
+    def on_header(self, name, value):
+        if name.lower() == b"goldcrest-refusal":
+            self.refusal = value.decode()
+
+    def on_body(self, data):
+        self.body += data
+
+    def on_message_complete(self):
+        status = self.parser.get_status_code()
+        if not self.parser.should_keep_alive():
+            self.closed = True
+        self._finish((self.refusal or str(status), self.body))
+
+    def _finish(self, answer):
+        if self.waiter is not None and not self.waiter.done():
+            self.waiter.set_result(answer)
+
+    async def call(self, request, timeout_s):
+        self.waiter = asyncio.get_running_loop().create_future()
+        self.refusal, self.body = None, b""
+        self.parser = httptools.HttpResponseParser(self)
+        self.transport.write(request)
+        try:
+            async with asyncio.timeout(timeout_s):
+                return await self.waiter
+        except TimeoutError:
+            self.closed = True
+            self.transport.abort()
+            return "lost", b""
+
+
+class Generator:
+    """Sends calls at their intended times to random daemons."""
+
+    def __init__(self, ports, seed):
+        self.ports = tuple(ports)
+        self.random = random.Random(seed)
+        self.idle = {port: [] for port in self.ports}
+        self.results = []
+
+    async def run(self, arrivals):
+        """Send all calls and return their results."""
+        self.results = []
+        tasks = set()
+        start = time.perf_counter()
+        for arrival in sorted(arrivals, key=lambda item: item.at_s):
+            delay_s = start + arrival.at_s - time.perf_counter()
+            if delay_s > 0.001:
+                await asyncio.sleep(delay_s)
+            task = asyncio.create_task(self._call(arrival, start + arrival.at_s))
+            tasks.add(task)
+            task.add_done_callback(tasks.discard)
+        while tasks:
+            await asyncio.wait(set(tasks))
+        return self.results
+
+    async def _call(self, arrival, intended):
+        target = f"{arrival.rule.path_prefix}/{arrival.number}?ms={arrival.service_ms}"
+        outcome, body = await self._send(arrival, target)
+        if outcome == "200":
+            outcome = "ok" if body.strip() == target.encode() else "wrong-answer"
+        latency_s = time.perf_counter() - intended
+        self.results.append(Result(arrival, outcome, latency_s))
+
+    async def _send(self, arrival, target):
+        port = self.random.choice(self.ports)
+        try:
+            connection = await self._connection(port)
+        except OSError:
+            return "lost", b""
+        request = _request(arrival, target)
+        answer = await connection.call(request, arrival.rule.longest_s + GRACE_S)
+        if not connection.closed:
+            self.idle[port].append(connection)
+        return answer
+
+    async def _connection(self, port):
+        idle = self.idle[port]
+        while idle:
+            connection = idle.pop()
+            if not connection.closed:
+                return connection
+        loop = asyncio.get_running_loop()
+        _, connection = await loop.create_connection(_Connection, "127.0.0.1", port)
+        return connection
+
+    def close(self):
+        """Close the idle connections."""
+        for connections in self.idle.values():
+            for connection in connections:
+                connection.transport.abort()
+
+
+def _request(arrival, target):
+    rule = arrival.rule
+    key = ""
+    if isinstance(rule.kind, AtMostOnce):
+        key = f"Idempotency-Key: {arrival.number}\r\n"
+    return (
+        f"{rule.method} /{arrival.service}{target} HTTP/1.1\r\nHost: bench\r\n"
+        f"Goldcrest-Deadline-Ms: {int(rule.longest_s * 1000)}\r\n{key}"
+        "Content-Length: 0\r\n\r\n"
+    ).encode()
