--- a/goldcresthoist/daemon/routed_call.py
+++ b/goldcresthoist/daemon/routed_call.py
@@ -246,6 +246,9 @@
 
     async def _record_failure(self, attempt, outcome):
         match outcome:
+            case Refuse(code="no-upstream"):
+                # The daemon answers but its upstream does not accept connections.
+                attempt.end(Outcome.FAILED, outcome.load)
             case Refuse():
                 attempt.end(Outcome.REFUSED, outcome.load)
             case Failed(kind=FailureKind.TIMED_OUT):
