--- a/goldcresthoist/daemon/once.py
+++ b/goldcresthoist/daemon/once.py
@@ -30,7 +30,8 @@
         """Run one call with a slot in hand; return whether it ended well."""
         # The connection comes first: an upstream that cannot be reached must not
         # leave a started operation behind.
-        if not await upstream_call.connect():
+        upstream_call.connection = self.upstream.acquire_idle()
+        if upstream_call.connection is None and not await upstream_call.connect():
             return False
         try:
             match await self.start(upstream_call.call.open):
@@ -51,7 +52,8 @@
 
     async def send(self, upstream_call, token):
         """Send the started request; return the `UpstreamAnswer`."""
-        return await upstream_call.send()
+        upstream_call.send()
+        return await upstream_call.connection.head()
 
     async def _run_started(self, upstream_call, token):
         # The record outlives the caller's patience, so started work gets its full time.
--- a/goldcresthoist/daemon/routing.py
+++ b/goldcresthoist/daemon/routing.py
@@ -5,18 +5,17 @@
 import os
 from time import monotonic
 
-from goldcresthoist.callers import BadRequest, CallerError, Refusal
-from goldcresthoist.config.model import Read, Upload
-from goldcresthoist.daemon.call_head import fingerprint, read_head, split_target
+from goldcresthoist.callers import CallerError, Refusal
+from goldcresthoist.config.model import Upload
+from goldcresthoist.daemon.call_head import find_rule, split_target
 from goldcresthoist.daemon.kinds import KEYED
 from goldcresthoist.daemon.routed_call import RoutedCall
 from goldcresthoist.daemon.routes import ServiceRoute
-from goldcresthoist.daemon.upload_entry import UPLOAD_METHODS
 
 __all__ = ["CallRouter"]
 
-PREFIX_BYTES = 64 * 1024
-RESERVED_PREFIX = "/-/"
+RESERVED_PART = "/-/"
+_STATUS_CLASSES = {2: "2xx", 3: "3xx", 4: "4xx", 5: "5xx"}
 
 
 class CallRouter:
@@ -39,7 +38,7 @@
     server : CallServer
         Runs calls at the own upstream.
     counters
-        Has ``add(name, amount=1, **labels)``.
+        Has ``add(name, amount=1, **labels)`` and ``observe(name, seconds, **labels)``.
     operation_paths : OperationPaths, optional
         Answers the paths below ``/<service>/-/``.
     """
@@ -78,7 +77,22 @@
     async def handle(self, request, exchange):
         """Answer one request of a caller."""
         try:
-            await self._route(request, exchange)
+            if RESERVED_PART in request.target and self.operation_paths is not None:
+                if await self._answer_operation_path(request, exchange):
+                    return
+            call = self._prepare(request, exchange)
+            if call is None:
+                return
+            if self.uploads is not None and isinstance(call.rule.kind, Upload):
+                await self.uploads.handle(call)
+                return
+            if not request.body.exhausted:
+                await call.read_prefix()
+            await call.run()
+            self._count(call)
+        except TimeoutError:
+            call.on_deadline()
+            self._count(call)
         except CallerError as exc:
             if exchange.started:
                 exchange.abort()
@@ -99,91 +113,46 @@
         """Return an identifier that is unique over all daemons."""
         return self.request_prefix + b"%x" % next(self.request_numbers)
 
-    async def _route(self, request, exchange):
+    async def _answer_operation_path(self, request, exchange):
+        """Answer a path below ``/<service>/-/``; return whether it was one."""
+        service, target = split_target(request.target)
+        if not target.startswith(RESERVED_PART) or not self.ready:
+            return False
+        if self.configurations.service(service) is None:
+            return False
+        await self.operation_paths.handle(self, service, target, request, exchange)
+        return True
+
+    def _count(self, call):
+        rule = call.rule
+        self.counters.add(
+            "calls",
+            service=call.route.name,
+            work=rule.name,
+            status=_STATUS_CLASSES.get(call.exchange.status // 100, "other"),
+        )
+        self.counters.observe(
+            "call_seconds", monotonic() - call.started_at, work=rule.name
+        )
+
+    def _prepare(self, request, exchange):
+        """Return the call for a request, or None when the request is refused."""
         service, target = split_target(request.target)
         if not self.ready:
             message = "the daemon has no configuration yet"
-            self.refuse(exchange, "not-ready", message, 1000)
-            return
+            return self.refuse(exchange, "not-ready", message, 1000)
         configuration = self.configurations.service(service)
         if configuration is None:
-            self.refuse(exchange, "unknown-service", f"no service {service!r}")
-            return
-        if target.startswith(RESERVED_PREFIX) and self.operation_paths is not None:
-            paths = self.operation_paths
-            await paths.handle(self, service, target, request, exchange)
-            return
-        rule = _find_rule(configuration, request.method, target)
+            return self.refuse(exchange, "unknown-service", f"no service {service!r}")
+        rule = find_rule(configuration, request.method, target)
         if rule is None:
             message = f"no work of {service} for {request.method} {target}"
-            self.refuse(exchange, "unknown-work", message)
-            return
-        head = read_head(request, self.new_request_id)
-        if isinstance(rule.kind, KEYED) and not head.key:
+            return self.refuse(exchange, "unknown-work", message)
+        if not request.key and isinstance(rule.kind, KEYED):
             message = f"work {rule.name} needs an Idempotency-Key header"
-            self.refuse(exchange, "key-required", message)
-            return
-        route = self._route_to(service, configuration)
-        if isinstance(rule.kind, Upload) and self.uploads is not None:
-            await self.uploads.handle(request, exchange, route, rule, head, target)
-            return
-        await self._run(request, exchange, route, rule, head, target)
-
-    async def _run(self, request, exchange, route, rule, head, target):
-        deadline = monotonic() + (head.deadline_s or rule.longest_s)
-        call = RoutedCall(self, route, rule, request, exchange, deadline)
-        call.target = target
-        call.headers = head.headers
-        call.key = head.key
-        try:
-            await self._read_prefix(call)
-            await call.run()
-        except TimeoutError:
-            call.on_deadline()
-
-    async def _read_prefix(self, call):
-        request = call.request
-        if request.body.exhausted:
-            call.body_complete = True
-        else:
-            call.exchange.allow_body()
-            async with asyncio.timeout_at(call.deadline):
-                call.prefix = await request.body.read_up_to(PREFIX_BYTES)
-            call.body_complete = request.body.exhausted
-        call.fingerprint = fingerprint(
-            call.route.name,
-            request.method,
-            call.target,
-            request.content_length,
-            call.prefix,
-        )
-
-    def _route_to(self, service, configuration):
+            return self.refuse(exchange, "key-required", message)
         route = self.routes.get(service)
         if route is None:
             route = self.routes[service] = ServiceRoute(service, self)
         route.apply(configuration)
-        return route
-
-
-def _find_rule(configuration, method, target):
-    path = target.partition("?")[0]
-    if ".." in path:
-        # Prefixes of work must not be left by a path that climbs.
-        raise BadRequest("the path must not contain '..'")
-    rule = configuration.rule_for(method, path)
-    if rule is None and method in UPLOAD_METHODS:
-        rule = _find_upload(configuration, path)
-    if rule is None and method == "HEAD":
-        rule = configuration.rule_for("GET", path)
-        if rule is not None and not isinstance(rule.kind, Read):
-            rule = None
-    return rule
-
-
-def _find_upload(configuration, path):
-    for method in ("POST", "PUT"):
-        rule = configuration.rule_for(method, path)
-        if rule is not None and isinstance(rule.kind, Upload):
-            return rule
-    return None
+        return RoutedCall(self, route, rule, request, exchange, target)
--- a/goldcresthoist/tests/builders.py
+++ b/goldcresthoist/tests/builders.py
@@ -23,7 +23,9 @@
 ]
 
 ROOT = Path(__file__).resolve().parents[2]
-LOOPBACK = "127.0.0.1"
+# An address of the loopback network for this process alone, so that test processes
+# that run at the same time cannot take each other's ports.
+LOOPBACK = f"127.{random.randint(1, 254)}.{random.randint(0, 255)}.1"
 SHARED_KEY = bytes(range(32)).hex()
 # A busy machine may take long to start a process; only a broken one takes longer.
 START_TIMEOUT_S = 60.0
--- a/goldcresthoist/tests/cluster.py
+++ b/goldcresthoist/tests/cluster.py
@@ -8,10 +8,11 @@
 from goldcresthoist.tests.processes import make_member, make_plan, make_service
 from goldcresthoist.tests.standins.upstream import UpstreamStandIn
 
-__all__ = ["Answer", "ClusterCase", "RawCaller"]
+__all__ = ["PATIENCE_S", "Answer", "ClusterCase", "RawCaller", "eventually"]
 
 # Far beyond what any step takes, so that a busy machine does not change the verdict.
 PATIENCE_S = 60.0
+POLL_INTERVAL_S = 0.005
 
 
 class Answer:
@@ -126,6 +127,7 @@
         nodes = {}
         for member in members:
             standin = UpstreamStandIn()
+            standin.crash = standin.drop_everything
             port = await standin.listen("127.0.0.1", 0)
             self.addAsyncCleanup(stop_standin, standin)
             plan = make_plan(member, port, members, services)
@@ -142,18 +144,17 @@
         self.addAsyncCleanup(caller.close)
         return caller
 
-    async def eventually(self, condition):
-        """Wait until ``condition()`` is true."""
-        async with asyncio.timeout(PATIENCE_S):
-            while True:
-                if condition():
-                    return
-                await asyncio.sleep(0.005)
+
+async def eventually(condition):
+    """Wait until ``condition()`` is true."""
+    async with asyncio.timeout(PATIENCE_S):
+        while True:
+            if condition():
+                return
+            await asyncio.sleep(POLL_INTERVAL_S)
 
 
 async def stop_standin(standin):
     """Stop a stand-in and drop its connections."""
-    standin.listener.close()
-    for connection in tuple(standin.connections):
-        connection.transport.abort()
+    standin.drop_everything()
     await asyncio.sleep(0)
