--- a/goldcresthoist/tests/demo.py
+++ b/goldcresthoist/tests/demo.py
@@ -84,6 +84,9 @@
 def _run(fleet, recorders):
     print(f"starting {len(fleet.targets)} upstreams, each with its daemon")
     fleet.start_all()
+    recorder = Recorder("daemons meet after their start")
+    recorders.append(recorder)
+    recorder.timed(fleet.wait_until_met)
     _apply(fleet)
     with ThreadPoolExecutor(PARALLEL_CALLS) as pool:
         for name, step in STEPS:
--- a/goldcresthoist/tests/fleet.py
+++ b/goldcresthoist/tests/fleet.py
@@ -103,6 +103,11 @@
         except (OSError, http.client.HTTPException):
             return None
 
+    def alive_members(self):
+        """Return how many daemons this daemon knows as alive, itself included."""
+        status = call(self.operators, "GET", "/status").document()
+        return status["members"]["alive"]
+
     def version(self, team):
         """Return the version of a team's configuration in force here."""
         status = call(self.operators, "GET", "/status").document()
@@ -199,6 +204,14 @@
                 f"{target.name} has version {version} of {team} in force",
             )
 
+    def wait_until_met(self):
+        """Wait until every daemon knows all others."""
+        for target in self.targets:
+            wait_until(
+                lambda target=target: target.alive_members() == len(self.targets),
+                f"{target.name} knows {len(self.targets)} daemons",
+            )
+
     def of_service(self, service):
         """Return the targets of a service."""
         return [target for target in self.targets if target.service == service]
