Crash reports reach daemons whose link is still being opened

Cause: an entry daemon told only peers with a usable link and waited 200 ms; on a busy machine another daemon ran the request a third time.

--- a/goldcresthoist/daemon/crash_report.py
+++ b/goldcresthoist/daemon/crash_report.py
@@ -1,11 +1,16 @@
 """Tells the daemons of a service which request was running in a crash."""
 
 import asyncio
+from contextlib import suppress
 from time import monotonic
 
+from goldcresthoist.links import LinkError
+
 __all__ = ["report_crash"]
 
-ACKNOWLEDGE_TIMEOUT_S = 0.2
+# A daemon that is silent for this long gets no new work from anybody, so it cannot run
+# the request before it has read the report.
+ACKNOWLEDGE_TIMEOUT_S = 1.0
 
 
 async def report_crash(routed, attempt):
@@ -26,11 +31,18 @@
     report = (routed.fingerprint, routed.crash_count, attempt.view.instance)
     if server.service == route.name and not attempt.local:
         server.add_suspect(*report)
-    now = monotonic()
-    links = [peer.link for peer in route.peers.values() if peer.is_usable(now)]
-    tasks = [asyncio.create_task(link.tell_suspect(*report)) for link in links]
+    peers = tuple(route.peers.values())
+    tasks = [asyncio.create_task(_tell(peer, report)) for peer in peers]
     if not tasks:
         return
     _, late = await asyncio.wait(tasks, timeout=ACKNOWLEDGE_TIMEOUT_S)
     for task in late:
         task.cancel()
+
+
+async def _tell(peer, report):
+    # A link that is being opened must not let its daemon miss the report.
+    await peer.first_attempt.wait()
+    if peer.is_usable(monotonic()):
+        with suppress(LinkError):
+            await peer.link.tell_suspect(*report)
