Connect groups of daemons that started at the same time

A daemon joins the first announced peer that answers and then stops looking. In 2 of about 25 starts of 11 daemons at once, two daemons joined only each other: after 40 s and 60 s they still knew 2 daemons and the others 9, and callers got no-upstream. Each daemon now compares announcements with its members after 0.5, 1, 2 s and so on, later every 60 s or longer in a large fleet, and joins daemons it does not know. The test forms two groups and needs both to learn all; it fails without the new task. Ended tasks are dropped from the membership.

--- a/goldcresthoist/daemon/bootstrap.py
+++ b/goldcresthoist/daemon/bootstrap.py
@@ -9,7 +9,12 @@
 from goldcresthoist.table import Always, Key, Put, TableError
 from goldcresthoist.telemetry import log_event
 
-__all__ = ["Announcements", "ConfigurationLoader", "announce_until_written"]
+__all__ = [
+    "Announcements",
+    "ConfigurationLoader",
+    "announce_until_written",
+    "meet_announced",
+]
 
 DOMAINS_PARTITION = "failure-domains"
 MOST_DOMAINS = 100
@@ -22,6 +27,12 @@
 # are, so that a version that was accepted and never announced is found.
 FLEET_REFRESH_S = 2.0
 MOST_REFRESH_S = 3600.0
+# The first looks for unknown daemons follow each other quickly, the later ones slowly
+# enough that all daemons together read the table a few times a second.
+FIRST_MEETING_S = 0.5
+LONGEST_MEETING_S = 60.0
+FLEET_MEETING_S = 0.1
+MEETING_LIMIT_S = 2.0
 # An announcement of a member that is not known and older than this is deleted.
 STALE_ANNOUNCEMENT_S = 24 * 3600
 
@@ -64,14 +75,19 @@
 
     async def first_peers(self):
         """Return gossip addresses of some daemons. Raises `TableError`."""
+        own = self.settings.gossip_address
+        addresses = [item["gossip_address"] for item in await self.some()]
+        return [address for address in addresses if address != own]
+
+    async def some(self):
+        """Return announcements of some daemons. Raises `TableError`."""
         items = await self.table.query(DOMAINS_PARTITION, limit=MOST_DOMAINS)
         others = [i["sk"] for i in items if i["sk"] != self.settings.failure_domain]
         chosen = random.sample(others, min(OTHER_DOMAINS, len(others)))
         found = await self._some(self.partition, PEERS_OF_OWN_DOMAIN)
         for domain in chosen:
             found += await self._some(_partition(domain), PEERS_OF_OTHER_DOMAINS)
-        own = self.settings.gossip_address
-        return [i["gossip_address"] for i in found if i["gossip_address"] != own]
+        return found
 
     async def delete_stale(self, is_known):
         """Delete some announcements of instances that no longer exist."""
@@ -161,6 +177,37 @@
         ]
 
 
+async def meet_announced(announcements, membership):
+    """Join announced daemons that are not known here, for ever.
+
+    A daemon joins the first peer that answers. Daemons that start at the same time can
+    so form groups that know nothing of each other; the announcements connect them.
+    """
+    pause_s = FIRST_MEETING_S
+    while True:
+        await asyncio.sleep(pause_s * random.uniform(0.5, 1.5))
+        try:
+            items = await announcements.some()
+        except TableError:
+            continue
+        for item in items:
+            if membership.member(item["instance"]) is None:
+                await _join_one(membership, item["gossip_address"])
+        members = len(membership.random_members(1_000_000)) + 1
+        longest_s = max(LONGEST_MEETING_S, FLEET_MEETING_S * members)
+        pause_s = min(longest_s, 2 * pause_s)
+
+
+async def _join_one(membership, address):
+    search = membership.join([address])
+    try:
+        async with asyncio.timeout(MEETING_LIMIT_S):
+            await search
+    except TimeoutError:
+        # The daemon is gone and its announcement is not deleted yet.
+        pass
+
+
 async def announce_until_written(announcements):
     """Announce this daemon, again and again while the table is away."""
     pause_s = RETRY_S
--- a/goldcresthoist/daemon/lifecycle.py
+++ b/goldcresthoist/daemon/lifecycle.py
@@ -7,7 +7,7 @@
 from time import monotonic
 
 from goldcresthoist.daemon.assembly import Daemon
-from goldcresthoist.daemon.bootstrap import announce_until_written
+from goldcresthoist.daemon.bootstrap import announce_until_written, meet_announced
 from goldcresthoist.daemon.collector import tune_collector
 from goldcresthoist.table import TableError
 from goldcresthoist.telemetry import log_event
@@ -51,6 +51,7 @@
     tasks = [
         asyncio.create_task(announce_until_written(daemon.announcements)),
         asyncio.create_task(_join(daemon)),
+        asyncio.create_task(meet_announced(daemon.announcements, daemon.membership)),
         asyncio.create_task(_enter_service(daemon)),
     ]
     await stop.wait()
--- /dev/null
+++ b/goldcresthoist/daemon/tests/test_bootstrap.py
@@ -0,0 +1,64 @@
+"""Tests of how daemons find each other through their announcements."""
+
+import asyncio
+import unittest
+
+from goldcresthoist.daemon.bootstrap import meet_announced
+from goldcresthoist.gossip import Membership
+from goldcresthoist.gossip.tests.builders import (
+    SHARED_KEY,
+    FakeNetwork,
+    make_member,
+    until,
+    virtual_time,
+)
+
+
+class AllAnnounced:
+    """Announcements of daemons, some of which may be gone."""
+
+    def __init__(self, items):
+        self.items = items
+
+    async def some(self):
+        return [
+            {"instance": name, "gossip_address": address}
+            for name, address in self.items.items()
+        ]
+
+
+class MeetAnnouncedTest(unittest.TestCase):
+    """Guards against groups of daemons that never learn of each other."""
+
+    async def start(self, network, count):
+        nodes = []
+        for number in range(1, count + 1):
+            member = make_member(f"m{number}", number)
+            node = Membership(member, SHARED_KEY, wall_clock=lambda: 1.7e9)
+            network.attach(node)
+            await node.start()
+            nodes.append(node)
+        return nodes
+
+    @virtual_time
+    async def test_groups_that_joined_among_themselves_become_one(self):
+        nodes = await self.start(FakeNetwork(), 8)
+        for first, *others in (nodes[:2], nodes[2:]):
+            for node in others:
+                node.join([first.view.record.gossip_address])
+        await asyncio.sleep(60)
+        self.assertEqual(len(nodes[0].random_members(100)), 1)
+        items = {
+            node.view.record.instance: node.view.record.gossip_address for node in nodes
+        }
+        items["gone"] = make_member("gone", 200).gossip_address
+        tasks = [
+            asyncio.create_task(meet_announced(AllAnnounced(items), node))
+            for node in nodes
+        ]
+        await until(lambda: all(len(n.random_members(100)) == 7 for n in nodes))
+        # The search for the daemon that is gone must not pile up tasks.
+        await asyncio.sleep(600)
+        self.assertLess(len(nodes[0].tasks), 10)
+        for task in tasks:
+            task.cancel()
--- a/goldcresthoist/gossip/membership.py
+++ b/goldcresthoist/gossip/membership.py
@@ -258,8 +258,13 @@
     def _run(self, coroutine):
         task = asyncio.get_running_loop().create_task(coroutine)
         self.tasks.append(task)
+        task.add_done_callback(self._forget)
         return task
 
+    def _forget(self, task):
+        if task in self.tasks:
+            self.tasks.remove(task)
+
     def _on_versions(self, versions, instance, more):
         for callback in tuple(self.version_subscribers):
             callback(versions, instance, more)
