--- a/goldcresthoist/daemon/routed_call.py
+++ b/goldcresthoist/daemon/routed_call.py
@@ -24,6 +24,11 @@
 
 PREFIX_BYTES = 64 * 1024
 LINK_WAIT_S = 1.0
+# A successor of the last upstream is known everywhere well within this time.
+UPSTREAM_WAIT_S = 3.0
+UPSTREAM_POLL_S = 0.05
+# The calls that wait must not take the memory of the daemon.
+MAX_WAITING_CALLS = 500
 # Statuses of an upstream that fails rather than answers.
 FAILED_STATUSES = frozenset((500, 502, 503, 504))
 
@@ -135,6 +140,25 @@
             if not await self.route.wait_for_link(wait_s):
                 break
             attempt = self._open_attempt()
+        return attempt or await self._late_attempt()
+
+    async def _late_attempt(self):
+        """Wait for an upstream, as when the last one drains and its successor starts.
+
+        Returns None when there is none in time, or too many calls wait already.
+        """
+        route = self.route
+        if route.waiting_calls >= MAX_WAITING_CALLS:
+            return None
+        until = min(self.deadline, monotonic() + UPSTREAM_WAIT_S)
+        attempt = None
+        route.waiting_calls += 1
+        try:
+            while attempt is None and monotonic() < until:
+                await asyncio.sleep(UPSTREAM_POLL_S)
+                attempt = self._open_attempt()
+        finally:
+            route.waiting_calls -= 1
         return attempt
 
     def _open_attempt(self, hedge=False):
@@ -226,6 +250,8 @@
             self.router.counters.add("retries_denied")
             return None
         retry = self._open_attempt()
+        if retry is None and reason == "draining":
+            retry = await self._late_attempt()
         if retry is not None:
             self.router.counters.add("retries", reason=reason)
             attempt.give_up()
--- a/goldcresthoist/daemon/routes.py
+++ b/goldcresthoist/daemon/routes.py
@@ -31,6 +31,8 @@
         self.peers = {}
         self.members = None
         self.refresh_due = 0.0
+        # Calls for which no upstream can be reached now.
+        self.waiting_calls = 0
 
     def apply(self, configuration):
         """Put a configuration in force."""
--- a/goldcresthoist/tests/fleet.py
+++ b/goldcresthoist/tests/fleet.py
@@ -83,6 +83,11 @@
         self.upstream = None
         self.daemon = None
 
+    def change_settings(self, values):
+        """Replace some settings; the daemon has them from its next start."""
+        self.settings |= values
+        self.settings_path = write_settings(self.fleet.folder, self.settings)
+
     def start_upstream(self):
         """Start the upstream stand-in."""
         port = self.upstream_address.rpartition(":")[2]
