Measure a new daemon's first sync and the cost of configuration changes

Change: a join phase in bench/membership.py and a phase with changes in bench/membership_processes.py.

--- a/goldcresthoist/bench/_model.py
+++ b/goldcresthoist/bench/_model.py
@@ -195,6 +195,15 @@
             rep.membership.subscribe(partial(self.refute, rep))
             await rep.start()
 
+    def add_newcomer(self):
+        """Return a new daemon that knows nobody."""
+        member = make_fleet_member(len(self.members), len(self.members))
+        rep = Representative(self, member)
+        rep.sync.first_done.clear()
+        self.domain_at[member.gossip_address] = member.failure_domain
+        self.stands_for[member.gossip_address] = rep
+        return rep
+
     def representative(self, address):
         """Return the daemon that stands for the member at an address."""
         return self.stands_for[address]
--- a/goldcresthoist/bench/membership.py
+++ b/goldcresthoist/bench/membership.py
@@ -160,6 +160,22 @@
     return {"in_force_everywhere_s": round(loop.time() - started, 2)}
 
 
+async def measure_join(model):
+    """Measure the first sync of a new daemon; the cost is that of both ends."""
+    loop = asyncio.get_running_loop()
+    rep = model.add_newcomer()
+    started, processor = loop.time(), time.process_time()
+    peer = model.all[0].membership.view.local()
+    while not await rep.sync.sync_with(peer):
+        await asyncio.sleep(1.0)
+    return {
+        "seconds": round(loop.time() - started, 2),
+        "known": rep.membership.view.population(),
+        "bytes": rep.control_bytes,
+        "processor_s_upper_bound": round(time.process_time() - processor, 2),
+    }
+
+
 async def measure_domain_lost(model):
     """Measure how a lost domain becomes known."""
     name = domain_name(LOST_DOMAIN)
@@ -257,6 +273,7 @@
     result["version"] = await measure_version(model)
     result["region_return"] = await measure_region_return(model)
     result["domain_lost"] = await measure_domain_lost(model)
+    result["join"] = await measure_join(model)
     result["rss_of_bench_bytes"] = _rss()
     return result
 
--- a/goldcresthoist/bench/membership_processes.py
+++ b/goldcresthoist/bench/membership_processes.py
@@ -19,7 +19,7 @@
 import uvloop
 from loguru import logger
 
-from goldcresthoist.bench.membership import team_contents
+from goldcresthoist.bench.membership import CHANGES_PER_DAY, team_contents
 from goldcresthoist.config import ConfigurationHolder
 from goldcresthoist.control import ControlPlane
 from goldcresthoist.gossip import Member, Membership, MemberState
@@ -30,7 +30,9 @@
 LOST_PROCESSES = (7, 8, 9)
 FROZEN_PROCESS = 3
 FROZEN_S = 12.0
-STEADY_S = 20.0
+STEADY_S = 40.0
+# Time for the rumours of the start to end.
+SETTLE_S = 30.0
 BASE_PORT = 23_000
 
 
@@ -100,13 +102,16 @@
         """Wait until every daemon knows so many live members."""
         await self._until(lambda p: p.membership.view.population() >= int(count))
 
+    async def begin(self):
+        """Start an interval of measuring."""
+        self.before = self._counters()
+
     async def steady(self):
-        """Print cost per daemon and second of ordinary operation."""
-        before = self._counters()
-        await asyncio.sleep(STEADY_S)
+        """Print the cost per daemon and second since the interval began."""
         after = self._counters()
+        seconds = after.pop("at") - self.before["at"]
         rates = {
-            key: (after[key] - before[key]) / STEADY_S / DAEMONS_PER_PROCESS
+            key: (after[key] - self.before[key]) / seconds / DAEMONS_PER_PROCESS
             for key in after
         }
         rates["rss"] = psutil.Process().memory_info().rss
@@ -148,6 +153,7 @@
         usage = resource.getrusage(resource.RUSAGE_SELF)
         exchanges = [plane.membership.exchange for plane in self.planes]
         return {
+            "at": time.monotonic(),
             "user_s": usage.ru_utime,
             "system_s": usage.ru_stime,
             "bytes_in": sum(item.bytes_received for item in exchanges),
@@ -218,18 +224,34 @@
     started = time.monotonic()
     _, at = parent.ask("know", total)
     result["all_know_all_s"] = round(at - started, 2)
-    time.sleep(15)
+    time.sleep(SETTLE_S)
+    parent.ask("begin")
+    time.sleep(STEADY_S)
     replies, _ = parent.ask("steady")
-    result["steady_per_daemon"] = {
-        key: round(sum(reply[key] for reply in replies) / len(replies), 5)
-        for key in replies[0]
-    }
+    result["steady_per_daemon"] = _mean(replies)
     result["version_s"] = [_version(parent, number) for number in range(1, 6)]
+    result["with_changes_per_daemon"] = _with_changes(parent)
     result["frozen"] = _freeze(parent, total)
     result["domain_lost"] = _lose_domain(parent)
     return result
 
 
+def _mean(replies):
+    return {
+        key: round(sum(reply[key] for reply in replies) / len(replies), 5)
+        for key in replies[0]
+    }
+
+
+def _with_changes(parent):
+    """Measure the cost with as many configuration changes as the design scale has."""
+    parent.ask("begin")
+    for number in range(10, 10 + int(STEADY_S * CHANGES_PER_DAY / 86_400)):
+        parent.ask("put", number, workers=[0])
+        time.sleep(86_400 / CHANGES_PER_DAY)
+    return _mean(parent.ask("steady")[0])
+
+
 def _version(parent, number):
     started = time.monotonic()
     parent.ask("put", number, workers=[0])
