config apply needs the version that the questionnaire was edited from

Cause: apply took the version it had just read as its base, so an operator with an old file undid a newer change without a conflict. Conclusion: of two operators who start from the same version the second is always told what changed.

--- a/goldcresthoist/cli/_commands.py
+++ b/goldcresthoist/cli/_commands.py
@@ -36,22 +36,25 @@
         return Invocation(_configuration.check, file, settings, address)
 
     @SetParseFn(str)
-    def apply(self, file, *, settings=None, address=None, author=None):
+    def apply(self, file, *, settings=None, address=None, author=None, base=None):
         """Put a questionnaire in force in every failure domain.
 
         Usage: goldcresthoist config apply FILE [--settings FILE] [--address IP:PORT]
-                                           [--author NAME]
+                                           [--author NAME] [--base VERSION]
 
         Shows what changes, then how many daemons of each failure domain have the new
-        version in force. Fails when another operator changed the configuration first.
+        version in force. Changes nothing when another operator changed the
+        configuration after the base version.
 
         Arguments:
           FILE                questionnaire of a team, YAML
           --settings FILE     settings of a daemon; default $GOLDCRESTHOIST_SETTINGS
           --address IP:PORT   operator address of the daemon to ask
           --author NAME       name for the history; default the user's name
+          --base VERSION      version that the questionnaire was edited from; needed
+                              unless the team has no configuration yet
         """
-        return Invocation(_configuration.apply, file, settings, address, author)
+        return Invocation(_configuration.apply, file, settings, address, author, base)
 
     @SetParseFn(str)
     def show(self, team, *, settings=None, address=None):
--- a/goldcresthoist/cli/_configuration.py
+++ b/goldcresthoist/cli/_configuration.py
@@ -13,7 +13,7 @@
     OperatorClient,
     RemoteFailure,
 )
-from goldcresthoist.cli.errors import CommandFailed
+from goldcresthoist.cli.errors import CommandFailed, UsageError
 from goldcresthoist.config import InvalidAnswer, Questionnaire, generate
 from goldcresthoist.config._checking import load_yaml
 from goldcresthoist.operators import (
@@ -54,8 +54,9 @@
     return 0
 
 
-def apply(file, settings, address, author):
+def apply(file, settings, address, author, base):
     """Apply a questionnaire and report where it is in force."""
+    base_version = _base_version(base)
     document = _load(file)
     Questionnaire.from_document(document, file)
     client = OperatorClient.from_flags(settings, address)
@@ -63,16 +64,21 @@
     _print_preview(preview)
     if preview.version and not preview.differences:
         return 0
+    if preview.version and base is None:
+        raise CommandFailed(
+            f"nothing was changed: if these are the changes that you mean, apply "
+            f"again with --base {preview.version}"
+        )
     request = {
         "questionnaire": document,
         "source": file,
-        "expected_version": preview.version,
+        "expected_version": base_version,
         "author": author or author_name(),
     }
     try:
         report = client.change("/configuration/apply", request, ApplyReport)
     except RemoteFailure as exc:
-        raise _explained(exc, preview) from exc
+        raise _explained(exc, preview.team, base_version) from exc
     _print_report(report)
     return 0
 
@@ -150,11 +156,19 @@
         )
 
 
-def _explained(failure, preview):
+def _base_version(base):
+    if base is None:
+        return 0
+    if not base.isdecimal():
+        raise UsageError(f"--base {base}: expected the number of a version")
+    return int(base)
+
+
+def _explained(failure, team, base_version):
     if failure.code != Conflict.code:
         return failure
     return CommandFailed(
-        f"nothing was changed: another operator changed team {preview.team} after "
-        f"version {preview.version}: {failure}",
+        f"nothing was changed: another operator changed team {team} after "
+        f"version {base_version}: {failure}",
         failure.details,
     )
--- a/goldcresthoist/cli/tests/test_cli.py
+++ b/goldcresthoist/cli/tests/test_cli.py
@@ -177,6 +177,20 @@
         self.assertIn("service ledger: slots", err)
         self.assertEqual(service.records["archive"].author, "bo")
 
+    def test_change_needs_the_version_it_was_made_from(self):
+        """Guards against an old questionnaire that undoes a newer change unseen."""
+        run("config", "apply", ARCHIVE, *self.settings)
+        changed = self.changed_questionnaire()
+        status, out, err = run("config", "apply", changed, *self.settings)
+        self.assertEqual(status, 1)
+        self.assertIn("service ledger: slots 12 -> 16", out)
+        self.assertIn("apply again with --base 1", err)
+        command = ("config", "apply", changed, "--base")
+        self.assertEqual(run(*command, "one", *self.settings)[0], 2)
+        status, out, _ = run(*command, "1", *self.settings)
+        self.assertEqual(status, 0)
+        self.assertIn("accepted as version 2", out)
+
     def test_operations(self):
         settings = self.settings
         out = run("operations", "list", *settings)[1]
--- a/goldcresthoist/tests/test_system.py
+++ b/goldcresthoist/tests/test_system.py
@@ -42,11 +42,12 @@
     return fleet
 
 
-def apply(fleet, questionnaire=QUESTIONNAIRE):
+def apply(fleet, questionnaire=QUESTIONNAIRE, base=0):
     """Apply a questionnaire through the command line."""
     settings = fleet.targets[0].settings_path
     status, output = fleet.command(
-        "config", "apply", questionnaire, "--settings", settings, "--author", "test"
+        *("config", "apply", questionnaire, "--base", base),
+        *("--settings", settings, "--author", "test"),
     )
     if status:
         raise RuntimeError(f"config apply ended with status {status}: {output}")
@@ -388,7 +389,7 @@
 
     def test_version_survives_replacement_of_all_daemons_without_the_store(self):
         fleet = self.fleet
-        output = apply(fleet, self._changed_questionnaire())
+        output = apply(fleet, self._changed_questionnaire(), base=1)
         self.assertIn("accepted as version 2", output)
         for store in ("table", "objects"):
             set_faults(fleet, store, down=True)
