telemetry: messages of libraries become events; apply names lost domains

asyncio, tornado and grpclib wrote tracebacks over several lines to stderr; they are now one key=value line with the place of the exception. config apply also names the failure domains of the team of which no daemon is known.

--- a/goldcresthoist/cli/_configuration.py
+++ b/goldcresthoist/cli/_configuration.py
@@ -144,10 +144,10 @@
 def _print_report(report):
     print(f"accepted as version {report.version} of team {report.team}")
     for count in report.counts:
-        print(
-            f"  failure domain {count.failure_domain}: in force in "
-            f"{count.in_force} of {count.daemons} daemons"
-        )
+        reached = f"in force in {count.in_force} of {count.daemons} daemons"
+        if not count.daemons:
+            reached = "no daemon can be reached"
+        print(f"  failure domain {count.failure_domain}: {reached}")
     missing = sum(count.daemons - count.in_force for count in report.counts)
     if missing:
         print(
--- a/goldcresthoist/cli/tests/test_cli.py
+++ b/goldcresthoist/cli/tests/test_cli.py
@@ -157,6 +157,7 @@
         self.assertIn("service ledger: added", out)
         self.assertIn("accepted as version 1 of team archive", out)
         self.assertIn("archive-b: in force in 3 of 4 daemons", out)
+        self.assertIn("archive-c: no daemon can be reached", out)
         self.assertIn("1 daemons do not have it yet", out)
         status, out, _ = run("config", "apply", ARCHIVE, *self.settings)
         self.assertEqual(out, "no changes to version 1 of team archive\n")
--- a/goldcresthoist/operators/fleet_configuration.py
+++ b/goldcresthoist/operators/fleet_configuration.py
@@ -109,7 +109,7 @@
                 )
             case Accepted(version):
                 self._put_in_force(team, version.version, data)
-                counts = await self._counts(team, version.version)
+                counts = await self._counts(content, version.version)
                 return ApplyReport(team, version.version, version.digest, counts)
 
     async def show(self, team):
@@ -194,11 +194,15 @@
         digest = content_digest(data)
         self.membership.announce_version(team, version, digest, everywhere=True)
 
-    async def _counts(self, team, version):
-        counts = self.membership.counts_by_domain()
+    async def _counts(self, content, version):
+        """Count the known domains, and those of the team that nobody is known of."""
+        known = {
+            domain: members.alive + members.suspect
+            for domain, members in self.membership.counts_by_domain().items()
+        }
         calls = (
-            self._count(domain, members.alive + members.suspect, team, version)
-            for domain, members in sorted(counts.items())
+            self._count(domain, known.get(domain, 0), content.team, version)
+            for domain in sorted({*known, *content.failure_domains})
         )
         return tuple(await asyncio.gather(*calls))
 
--- a/goldcresthoist/operators/tests/builders.py
+++ b/goldcresthoist/operators/tests/builders.py
@@ -70,6 +70,7 @@
             )
         self.put(content, author)
         counts = (DomainCount("archive-a", 4, 4), DomainCount("archive-b", 3, 4))
+        counts += (DomainCount("archive-c", 0, 0),)
         return ApplyReport(content.team, version + 1, "e" * 64, counts)
 
     def put(self, content, author):
--- a/goldcresthoist/operators/tests/test_fleet_services.py
+++ b/goldcresthoist/operators/tests/test_fleet_services.py
@@ -30,7 +30,7 @@
 
 def team(name, service, slots=12):
     services = (ServiceConfiguration(service, slots, 0, 48, 0.08, 0.05, 0.01, ()),)
-    return TeamConfiguration(name, services)
+    return TeamConfiguration(name, services, ("a", "b", "lost"))
 
 
 class FleetConfigurationTest(VirtualTimeTestCase):
@@ -59,7 +59,12 @@
         report = await self.first.apply(team("t", "s1"), 0, "ann")
         self.assertEqual(report.version, 1)
         self.assertEqual(
-            report.counts, (DomainCount("a", 3, 3), DomainCount("b", 3, 3))
+            report.counts,
+            (
+                DomainCount("a", 3, 3),
+                DomainCount("b", 3, 3),
+                DomainCount("lost", 0, 0),
+            ),
         )
         for node in self.nodes:
             self.assertEqual(node.holder.version_of("t"), 1)
--- a/goldcresthoist/telemetry/log.py
+++ b/goldcresthoist/telemetry/log.py
@@ -1,8 +1,10 @@
 """Log lines: one event a line, written as key=value pairs."""
 
 import json
+import logging
 import re
 import sys
+import traceback
 
 from loguru import logger
 
@@ -47,6 +49,26 @@
         diagnose=False,
     )
     _Threshold.number = logger.level(level).no
+    logging.basicConfig(handlers=[_Forward()], level=logging.WARNING, force=True)
+
+
+class _Forward(logging.Handler):
+    """Writes what libraries log as events, exceptions included, in one line."""
+
+    def emit(self, record):
+        """Write one record."""
+        fields = {"logger": record.name, "message": record.getMessage()}
+        if record.exc_info and record.exc_info[1] is not None:
+            fields["error"] = record.exc_info[1]
+            fields["at"] = _place(record.exc_info[1])
+        level = "error" if record.levelno >= logging.ERROR else "warning"
+        log_event(level, "library message", **fields)
+
+
+def _place(error):
+    """Return file and line where an exception was raised."""
+    frames = traceback.extract_tb(error.__traceback__)
+    return f"{frames[-1].filename}:{frames[-1].lineno}" if frames else "unknown"
 
 
 def log_event(level, event, **fields):
@@ -66,7 +88,7 @@
         return
     pairs = [f"event={_quote(event)}"]
     pairs.extend(f"{key}={_format(key, value)}" for key, value in fields.items())
-    logger.bind(severity=level).log(name, "{}", " ".join(pairs))
+    logger.log(name, "{}", " ".join(pairs))
 
 
 def _name_severity(record):
--- a/goldcresthoist/telemetry/tests/test_telemetry.py
+++ b/goldcresthoist/telemetry/tests/test_telemetry.py
@@ -1,6 +1,7 @@
 """Tests of log lines and metrics."""
 
 import io
+import logging
 import unittest
 
 from loguru import logger
@@ -19,6 +20,7 @@
         self.stream = io.StringIO()
         configure_logging("INFO", self.stream)
         self.addCleanup(logger.remove)
+        self.addCleanup(logging.basicConfig, force=True)
 
     def test_event_is_one_line_even_with_line_breaks_in_values(self):
         """Guards against log injection by a caller's path."""
@@ -40,6 +42,20 @@
         log_event("info", "odd", value="{extra} <red>x</red>")
         self.assertIn('value="{extra} <red>x</red>"', self.stream.getvalue())
 
+    def test_library_messages_are_one_line_with_their_exception(self):
+        """Guards against tracebacks of libraries that break up the log."""
+        try:
+            raise ValueError("two\nlines")
+        except ValueError:
+            logging.getLogger("asyncio").exception("task failed")
+        logger.warning("event=direct")
+        lines = self.stream.getvalue().splitlines()
+        self.assertEqual(len(lines), 2, lines)
+        self.assertIn('logger=asyncio message="task failed"', lines[0])
+        self.assertIn('error="ValueError: two\\nlines"', lines[0])
+        self.assertRegex(lines[0], r"at=\S+test_telemetry\.py:\d+")
+        self.assertIn("level=warning event=direct", lines[1])
+
     def test_events_below_the_level_are_not_written(self):
         log_event("debug", "noise")
         self.assertEqual(self.stream.getvalue(), "")
