--- a/goldcresthoist/config/_answers.py
+++ b/goldcresthoist/config/_answers.py
@@ -10,6 +10,7 @@
 _REPR.maxstring = 80
 _REPR.maxother = 80
 
+MAX_KEY_CHARACTERS = 80
 NAME_PATTERN = re.compile(r"^[a-z0-9][a-z0-9.-]{0,62}$")
 NAME_RULE = "a name of 1 to 63 lower-case letters, digits, '.' and '-'"
 
@@ -96,7 +97,10 @@
         return float(self.value)
 
     def _child(self, key, value):
-        path = f"{self.path}.{key}" if self.path else str(key)
+        # A key that nobody expects may hold line breaks or be very long.
+        name = key if isinstance(key, str) and key.isidentifier() else _REPR.repr(key)
+        name = name[:MAX_KEY_CHARACTERS]
+        path = f"{self.path}.{name}" if self.path else name
         return Answer(self.source, path, value)
 
 
--- a/goldcresthoist/config/tests/test_questionnaire.py
+++ b/goldcresthoist/config/tests/test_questionnaire.py
@@ -113,6 +113,10 @@
             with self.subTest(path=path, value=value):
                 self.check(changed(path, value), texts)
 
+    def test_odd_key_stays_in_one_line(self):
+        """Guards against an error of several lines."""
+        self.check({**VALID, "a\nb" * 200: 1}, ["unknown key"])
+
     def test_missing_answer(self):
         document = copy.deepcopy(VALID)
         del document["services"][0]["work"][0]["usual_ms"]
