callpath: leave no reference cycles behind a call

Cause: each call left about 30 objects in cycles (streams and their owners, attempts and their call, the two ends of a local call, a call and its task). They waited for the garbage collector, so that every call used fresh, uncached memory, and collections paused the daemon.

Change: the references back are cut when a stream, an attempt or a call ends.

--- a/goldcresthoist/daemon/routed_call.py
+++ b/goldcresthoist/daemon/routed_call.py
@@ -104,6 +104,8 @@
         finally:
             for attempt in self.attempts:
                 attempt.give_up()
+            # Attempts refer to this call, and no cycle may be left for the collector.
+            self.attempts.clear()
 
     def on_deadline(self):
         """Answer a request whose time is over."""
--- a/goldcresthoist/links/acceptor.py
+++ b/goldcresthoist/links/acceptor.py
@@ -175,3 +175,5 @@
             await self.service.serve(call)
         finally:
             del self.calls[call.call_id]
+            # The task refers to the call; no cycle may be left for the collector.
+            call.task = None
--- a/goldcresthoist/links/local.py
+++ b/goldcresthoist/links/local.py
@@ -16,10 +16,11 @@
 
     def __init__(self, service, message):
         loop = asyncio.get_running_loop()
-        self.body = BodyStream(self._on_consumed)
         self.window = CreditWindow(0)
         self.result = OutcomeWaiter(loop)
         self.serving = ServingEnd(self, message)
+        self.request_body = self.serving.body
+        self.body = BodyStream(self.serving.window.grant)
         self.done = False
         if service.draining:
             load = service.load_report()
@@ -33,9 +34,9 @@
 
     async def send_body(self, data, end=False):
         """Pass a piece of the request body."""
-        await _pass(data, self.window, self.serving.body)
+        await _pass(data, self.window, self.request_body)
         if end:
-            self.serving.body.end()
+            self.request_body.end()
 
     def cancel(self):
         """Give the call up."""
@@ -60,9 +61,6 @@
         self.body.fail(error)
         self.window.fail(error)
 
-    def _on_consumed(self, size):
-        self.serving.window.grant(size)
-
 
 class ServingEnd:
     """The end of a local call at the upstream."""
@@ -70,7 +68,7 @@
     def __init__(self, caller, message):
         self.caller = caller
         self.open = message
-        self.body = BodyStream(self._on_consumed)
+        self.body = BodyStream(caller.window.grant)
         self.window = CreditWindow(STREAM_CREDIT_BYTES)
         self.task = None
         self.done = False
@@ -102,11 +100,13 @@
         self.done = True
         refusal = Refuse(LOCAL_CALL_ID, code, message, retry_after_ms, load)
         self.caller.finish(refusal)
+        self._part()
 
     def fail(self, kind, message, load, crash_count=0):
         """Say that the call was started and has no complete answer."""
         self.done = True
         self.caller.finish(Failed(LOCAL_CALL_ID, kind, message, load, crash_count))
+        self._part()
 
     def cancel(self):
         """Stop the task that serves the call."""
@@ -118,9 +118,13 @@
         self.done = True
         self.caller.done = True
         self.caller.body.end()
+        self._part()
 
-    def _on_consumed(self, size):
-        self.caller.window.grant(size)
+    def _part(self):
+        # The two ends refer to each other, and the task to this end; no cycle may be
+        # left for the collector.
+        self.caller.serving = None
+        self.task = None
 
 
 async def _pass(data, window, stream):
--- a/goldcresthoist/streams.py
+++ b/goldcresthoist/streams.py
@@ -44,6 +44,8 @@
     def end(self):
         """Mark the body as complete."""
         self.ended = True
+        if not self.chunks:
+            self._let_go()
         if self.waiter is not None:
             self._wake()
 
@@ -51,6 +53,7 @@
         """Make reads raise ``error``, unless the body is complete."""
         if not self.ended and self.error is None:
             self.error = error
+            self._let_go()
             self._wake()
 
     def take(self):
@@ -103,6 +106,13 @@
         self.size -= size
         if self.on_consumed is not None:
             self.on_consumed(size)
+            if self.ended and not self.chunks:
+                self._let_go()
+
+    def _let_go(self):
+        # The producer usually holds this stream. Without the reference back, both are
+        # freed at once and not by the garbage collector, which would cost a pause.
+        self.on_consumed = None
 
     async def _wait(self):
         self.waiter = asyncio.get_running_loop().create_future()
