callpath: send calls and answers on from the callback that received them

Cause: each of the four steps of a remote call (request and answer, at both daemons) waited for a task switch before it was sent on.

Change: a whole request on an idle connection is sent on by CallRouter.begin, and a call that needs not wait for anything by CallServer.begin; a whole answer is relayed from the callback that received it. The tasks of the connection and of the call do the rest (budgets, records, retries, hedges, deadlines) afterwards, by the same sequential code.

A task that was cancelled before its first step ran none of its code, so an Open followed at once by a Cancel left the call in the link's table, and would now leave its slot taken; such a call ends by a flag. A caller that sends requests and reads no answers is stopped after 64 KiB of answers; before, its answers filled memory.

--- a/goldcresthoist/callers/exchange.py
+++ b/goldcresthoist/callers/exchange.py
@@ -22,6 +22,7 @@
     """
 
     __slots__ = (
+        "begun",
         "bodyless",
         "chunked",
         "connection",
@@ -40,6 +41,8 @@
         self.http10 = request is not None and request.http10
         self.bodyless = request is not None and request.method == "HEAD"
         self.continue_due = request is not None and request.expects_continue
+        # Set by the server's ``begin`` for the handler.
+        self.begun = None
         self.started = False
         self.status = 0
         self.finished = False
--- a/goldcresthoist/callers/server.py
+++ b/goldcresthoist/callers/server.py
@@ -19,12 +19,22 @@
 class CallerServer:
     """Accepts connections of callers and passes their requests to ``handler``.
 
-    ``handler(request, exchange)`` is a coroutine function that answers through the
-    exchange. ``counters`` has ``add(name, amount=1, **labels)``.
+    Parameters
+    ----------
+    handler : coroutine function
+        ``handler(request, exchange)`` answers through the exchange.
+    counters
+        Has ``add(name, amount=1, **labels)``.
+    begin : callable, optional
+        ``begin(request, exchange)`` starts a request that arrived whole on an idle
+        connection, before the task of the connection gets its turn. It may set
+        ``exchange.begun`` to something with ``give_up()``, which is called when the
+        handler does not get the request any more.
     """
 
-    def __init__(self, handler, counters):
+    def __init__(self, handler, counters, begin=None):
         self.handler = handler
+        self.begin = begin
         self.counters = counters
         self.connections = set()
         self.draining = False
@@ -82,6 +92,7 @@
         self.parser = RequestParser(self._on_request, self._on_consumed)
         self.requests = deque()
         self.current = None
+        self.begun = None
         self.broken = None
         self.task = None
         self.request_waiter = None
@@ -109,6 +120,8 @@
             self._pause_reading()
             self._wake()
             return
+        if self.requests and self.server.begin is not None:
+            self._begin()
         self._adjust_reading()
 
     def eof_received(self):
@@ -168,6 +181,14 @@
         self.requests.append(request)
         self._wake()
 
+    def _begin(self):
+        """Start the oldest request if it is whole and no other one is answered."""
+        request = self.requests[0]
+        idle = self.request_waiter is not None and self.begun is None
+        if idle and request.body.ended:
+            self.begun = Exchange(self, request, self.server.draining)
+            self.server.begin(request, self.begun)
+
     def _wake(self):
         if self.request_waiter is not None and not self.request_waiter.done():
             self.request_waiter.set_result(None)
@@ -216,6 +237,9 @@
         except CallerError as exc:
             self._refuse_and_close(exc)
         finally:
+            if self.begun is not None and self.begun.begun is not None:
+                self.begun.begun.give_up()
+                self.begun = None
             self.transport.close()
 
     async def _answer_next(self):
@@ -224,7 +248,9 @@
         if request is None:
             self._refuse_and_close(self.broken)
             return False
-        exchange = self.current = Exchange(self, request, self.server.draining)
+        exchange = self.begun or Exchange(self, request, self.server.draining)
+        self.current = exchange
+        self.begun = None
         try:
             await self.server.handler(request, exchange)
         finally:
@@ -235,6 +261,9 @@
         if not request.body.exhausted:
             request.body.fail(BadRequest("the answer was sent before the body ended"))
             return False
+        if self.write_paused:
+            # A caller that sends requests and reads no answers must not fill memory.
+            await self.drain()
         return exchange.keep_alive
 
     def _refuse_and_close(self, error):
--- a/goldcresthoist/daemon/assembly.py
+++ b/goldcresthoist/daemon/assembly.py
@@ -114,7 +114,9 @@
         self.router.uploads = UploadEntry(
             self.router, self.receiver, self.is_gone, self.counters
         )
-        self.caller_server = CallerServer(self.router.handle, self.counters)
+        self.caller_server = CallerServer(
+            self.router.handle, self.counters, self.router.begin
+        )
 
     def _build_pages(self):
         self.status = StatusReporter(self)
--- a/goldcresthoist/daemon/attempt.py
+++ b/goldcresthoist/daemon/attempt.py
@@ -73,6 +73,7 @@
         """Cancel what still runs."""
         if self.sender is not None:
             self.sender.cancel()
+        self.call.result.on_set = None
         self.call.cancel()
         self.end(Outcome.CANCELLED, None)
 
--- a/goldcresthoist/daemon/relay.py
+++ b/goldcresthoist/daemon/relay.py
@@ -29,14 +29,33 @@
             async with asyncio.timeout_at(routed.deadline):
                 await _relay_rest(body, exchange)
     except (CallFailed, LinkError, ValueError):
-        routed.router.counters.add("answers_cut")
-        attempt.end(Outcome.FAILED, None)
-        exchange.abort()
+        _cut(routed, attempt)
         return
-    attempt.end(Outcome.SUCCEEDED, head.load)
+    finish_relay(routed, attempt)
+
+
+def start_relay(routed, attempt, head):
+    """Pass on an answer that is here as a whole; return whether that went well."""
+    try:
+        routed.exchange.start(head.status, head.headers, attempt.call.body.take(), True)
+    except ValueError:
+        _cut(routed, attempt)
+        return False
+    return True
+
+
+def finish_relay(routed, attempt):
+    """Count an answer that was passed on completely."""
+    attempt.end(Outcome.SUCCEEDED, None)
     routed.route.hedges.record(routed.rule, attempt.latency_s)
 
 
+def _cut(routed, attempt):
+    routed.router.counters.add("answers_cut")
+    attempt.end(Outcome.FAILED, None)
+    routed.exchange.abort()
+
+
 async def _relay_rest(body, exchange):
     ended = False
     while not ended:
--- a/goldcresthoist/daemon/routed_call.py
+++ b/goldcresthoist/daemon/routed_call.py
@@ -16,11 +16,11 @@
 from goldcresthoist.daemon.call_head import fingerprint
 from goldcresthoist.daemon.crash_report import report_crash
 from goldcresthoist.daemon.kinds import REPEATABLE
-from goldcresthoist.daemon.relay import relay_answer
+from goldcresthoist.daemon.relay import finish_relay, relay_answer, start_relay
 from goldcresthoist.links import LinkClosed
 from goldcresthoist.links.frames import Failed, FailureKind, Head, Refuse
 
-__all__ = ["RoutedCall"]
+__all__ = ["PREFIX_BYTES", "RoutedCall"]
 
 PREFIX_BYTES = 64 * 1024
 LINK_WAIT_S = 1.0
@@ -33,6 +33,7 @@
 
     __slots__ = (
         "attempts",
+        "begun",
         "body_complete",
         "body_started",
         "crash_count",
@@ -44,6 +45,7 @@
         "key",
         "loop",
         "prefix",
+        "relayed",
         "request",
         "route",
         "router",
@@ -73,9 +75,18 @@
         self.crash_count = 0
         self.exclude = ()
         self.attempts = []
+        self.begun = False
+        self.relayed = False
         # Whether an upstream may have run the request.
         self.started = False
 
+    def take_whole_body(self):
+        """Take a body that is here as a whole; it is kept for retries."""
+        if not self.body_complete:
+            self.prefix = self.request.body.take()
+            self.body_complete = True
+            self.fingerprint = self._fingerprint()
+
     async def read_prefix(self):
         """Take the first bytes of the body, which are kept for retries."""
         self.exchange.allow_body()
@@ -85,10 +96,28 @@
         self.body_complete = body.exhausted
         self.fingerprint = self._fingerprint()
 
+    def begin(self):
+        """Send the request without waiting for anything."""
+        self.begun = True
+        self.route.budget.record_call()
+        attempt = self._open_attempt()
+        if attempt is not None:
+            attempt.call.result.on_set = self._relay_at_once
+
+    def _relay_at_once(self, head):
+        """Relay an answer that is whole from the callback that received it.
+
+        The task of the call does the rest later, off the path of the caller's wait.
+        """
+        if type(head) is Head and head.end and head.status not in FAILED_STATUSES:
+            if not self.exchange.started and not self.exchange.connection.closed:
+                self.relayed = start_relay(self, self.attempts[0], head)
+
     async def run(self):
         """Answer the request."""
-        self.route.budget.record_call()
-        attempt = await self._first_attempt()
+        if not self.begun:
+            self.begin()
+        attempt = self.attempts[0] if self.attempts else await self._first_attempt()
         if attempt is None:
             message = f"no upstream of {self.route.name} can be reached"
             self.router.refuse(self.exchange, "no-upstream", message, 1000)
@@ -96,19 +125,30 @@
         try:
             while True:
                 attempt, outcome = await self._settle(attempt)
+                if self.relayed:
+                    break
                 retry = await self._retry(attempt, outcome)
                 if retry is None:
                     break
                 attempt = retry
-            await self._answer(attempt, outcome)
+            if self.relayed:
+                finish_relay(self, self.attempts[0])
+            else:
+                await self._answer(attempt, outcome)
         finally:
-            for attempt in self.attempts:
-                attempt.give_up()
-            # Attempts refer to this call, and no cycle may be left for the collector.
-            self.attempts.clear()
+            self.give_up()
+
+    def give_up(self):
+        """Cancel what still runs."""
+        for attempt in self.attempts:
+            attempt.give_up()
+        # Attempts refer to this call, and no cycle may be left for the collector.
+        self.attempts.clear()
 
     def on_deadline(self):
         """Answer a request whose time is over."""
+        if self.exchange.finished:
+            return
         if self.exchange.started:
             self.exchange.abort()
             return
--- a/goldcresthoist/daemon/routing.py
+++ b/goldcresthoist/daemon/routing.py
@@ -9,7 +9,7 @@
 from goldcresthoist.config.model import Upload
 from goldcresthoist.daemon.call_head import find_rule, split_target
 from goldcresthoist.daemon.kinds import KEYED
-from goldcresthoist.daemon.routed_call import RoutedCall
+from goldcresthoist.daemon.routed_call import PREFIX_BYTES, RoutedCall
 from goldcresthoist.daemon.routes import ServiceRoute
 
 __all__ = ["CallRouter"]
@@ -74,16 +74,37 @@
         self.request_prefix = f"{self.instance}-{os.urandom(4).hex()}-".encode()
         self.request_numbers = itertools.count(1)
 
+    def begin(self, request, exchange):
+        """Send a request on whose body is here, before a task switch."""
+        if RESERVED_PART in request.target:
+            return
+        try:
+            call = self._prepare(request, exchange)
+        except CallerError as exc:
+            self._refuse_error(exchange, exc)
+            return
+        exchange.begun = call
+        if call is None or self._is_upload(call):
+            return
+        if request.body.size <= PREFIX_BYTES:
+            call.take_whole_body()
+            call.begin()
+
     async def handle(self, request, exchange):
         """Answer one request of a caller."""
+        if exchange.finished:
+            return
+        call = exchange.begun
+        exchange.begun = None
         try:
             if RESERVED_PART in request.target and self.operation_paths is not None:
                 if await self._answer_operation_path(request, exchange):
                     return
-            call = self._prepare(request, exchange)
+            if call is None:
+                call = self._prepare(request, exchange)
             if call is None:
                 return
-            if self.uploads is not None and isinstance(call.rule.kind, Upload):
+            if self._is_upload(call):
                 await self.uploads.handle(call)
                 return
             if not request.body.exhausted:
@@ -94,11 +115,7 @@
             call.on_deadline()
             self._count(call)
         except CallerError as exc:
-            if exchange.started:
-                exchange.abort()
-            else:
-                exchange.keep_alive = False
-                self.refuse(exchange, exc.code, str(exc))
+            self._refuse_error(exchange, exc)
 
     def refuse(self, exchange, code, message, retry_after_ms=0):
         """Answer a request that did not run."""
@@ -123,6 +140,16 @@
         await self.operation_paths.handle(self, service, target, request, exchange)
         return True
 
+    def _is_upload(self, call):
+        return self.uploads is not None and isinstance(call.rule.kind, Upload)
+
+    def _refuse_error(self, exchange, error):
+        if exchange.started:
+            exchange.abort()
+        else:
+            exchange.keep_alive = False
+            self.refuse(exchange, error.code, str(error))
+
     def _count(self, call):
         rule = call.rule
         self.counters.add(
--- a/goldcresthoist/daemon/serving.py
+++ b/goldcresthoist/daemon/serving.py
@@ -109,14 +109,54 @@
         for task in tuple(self.kept):
             task.cancel()
 
+    def begin(self, call):
+        """Start or refuse a call at once if nothing has to be waited for."""
+        try:
+            self._begin(call)
+        except Exception as exc:
+            self._report_error(call, exc)
+
     async def serve(self, call):
         """Answer one `IncomingCall`."""
+        call.started = True
         try:
-            await self._admit(call)
+            if call.begun is not None:
+                await self._run_in_slot(*call.begun)
+            elif not call.cancelled:
+                await self._admit(call)
         except Exception as exc:
-            log_event("error", "call failed", service=self.service, error=exc)
-            if not call.done:
-                call.fail(FailureKind.BROKEN, repr(exc), self.load_report())
+            self._report_error(call, exc)
+        finally:
+            call.begun = None
+
+    def _begin(self, call):
+        message = call.open
+        rule = self._rule_for(message)
+        if rule is None or not message.end or isinstance(rule.kind, KEYED):
+            return
+        if message.crash_count or self.suspects.by_fingerprint:
+            return
+        now = monotonic()
+        deadline = now + message.time_left_us / 1e6
+        try:
+            slot = self.admission.acquire_nowait(rule, deadline, now)
+        except AdmissionRefused as exc:
+            self._refuse_admission(call, exc)
+            return
+        if slot is not None:
+            self._take_up_work()
+            upstream_call = UpstreamCall(call, self.upstream, rule, deadline, self)
+            call.begun = (upstream_call, slot)
+            upstream_call.begin()
+
+    def _take_up_work(self):
+        self.running += 1
+        self.idle.clear()
+
+    def _report_error(self, call, error):
+        log_event("error", "call failed", service=self.service, error=error)
+        if not call.done:
+            call.fail(FailureKind.BROKEN, repr(error), self.load_report())
 
     async def _admit(self, call):
         message = call.open
@@ -145,12 +185,12 @@
         finally:
             if slot is None:
                 self._end_suspect(message.fingerprint, False)
-        self.running += 1
-        self.idle.clear()
+        self._take_up_work()
+        upstream_call = UpstreamCall(call, self.upstream, rule, deadline, self)
         if isinstance(rule.kind, KEYED):
-            await self._keep(self._run_in_slot(call, rule, deadline, slot))
+            await self._keep(self._run_in_slot(upstream_call, slot))
         else:
-            await self._run_in_slot(call, rule, deadline, slot)
+            await self._run_in_slot(upstream_call, slot)
 
     async def _take_suspect_turn(self, message, deadline):
         """Wait until no other suspect runs; return at once for other requests."""
@@ -172,20 +212,19 @@
                 if not waiter.done():
                     waiter.set_result(None)
 
-    async def _run_in_slot(self, call, rule, deadline, slot):
+    async def _run_in_slot(self, upstream_call, slot):
         succeeded = False
         try:
-            succeeded = await self._run(call, rule, deadline)
+            succeeded = await self._run(upstream_call)
         finally:
-            self._end_suspect(call.open.fingerprint, succeeded)
+            self._end_suspect(upstream_call.call.open.fingerprint, succeeded)
             self.admission.release(slot, monotonic())
             self.running -= 1
             if not self.running:
                 self.idle.set()
 
-    async def _run(self, call, rule, deadline):
-        upstream_call = UpstreamCall(call, self.upstream, rule, deadline, self)
-        match rule.kind:
+    async def _run(self, upstream_call):
+        match upstream_call.rule.kind:
             case Upload() if self.uploads is not None:
                 return await self.uploads.run(upstream_call)
             case AtMostOnce() | Upload():
--- a/goldcresthoist/daemon/tests/test_routing.py
+++ b/goldcresthoist/daemon/tests/test_routing.py
@@ -3,8 +3,12 @@
 import unittest
 
 from goldcresthoist.daemon.tests.builders import RoutingCase, no_retries
+from goldcresthoist.links import open_link
+from goldcresthoist.links.frames import Cancel, encode_frame
+from goldcresthoist.links.tests.builders import make_open
 from goldcresthoist.tests.cluster import eventually
 from goldcresthoist.tests.fakes import FakeLedger
+from goldcresthoist.tests.pathnode import SHARED_KEY
 
 MIB = 1024 * 1024
 
@@ -187,6 +191,45 @@
             await eventually(lambda: counts["cancelled"] > before)
         await upstream.server.wait_until_idle()
 
+    async def test_cancel_right_after_open_leaves_nothing(self):
+        _, (upstream,) = await self.start_path()
+        link = await open_link(
+            "127.0.0.1",
+            upstream.link_server.port,
+            "test",
+            "lookup-0",
+            SHARED_KEY,
+            upstream.counters,
+            lambda load: None,
+        )
+        self.addCleanup(link.close, "test-end")
+        for call_id in range(1, 31):
+            # Both frames arrive before the task of the call has had a turn.
+            opened = make_open(call_id, end=call_id % 2 == 0)
+            frames = encode_frame(opened) + encode_frame(Cancel(call_id))
+            link.transport.write(frames)
+        await link.tell_suspect(b"f", 0, "test")
+        (accepted,) = upstream.link_server.links
+        await eventually(lambda: not accepted.calls)
+        self.assertEqual(upstream.server.load_report().in_flight, 0)
+        await upstream.server.wait_until_idle()
+
+    async def test_callers_that_leave_at_once_leave_no_counts(self):
+        entry, (upstream,) = await self.start_path()
+        for node in (entry, upstream):
+            first = await self.caller(node)
+            await first.call("GET", "/lookup/items")
+            for _ in range(30):
+                caller = await self.caller(node)
+                caller.send("GET", "/lookup/items?ms=60000")
+                caller.send("GET", "/lookup/items?ms=60000")
+                await caller.close()
+            await eventually(lambda: len(node.caller_server.connections) == 1)
+            (view,) = node.router.routes["lookup"].views
+            await eventually(lambda: view.in_flight == 0)
+        await upstream.server.wait_until_idle()
+        self.assertEqual(upstream.server.load_report().in_flight, 0)
+
     async def test_truncated_request_body_is_not_completed(self):
         entry, (upstream,) = await self.start_path()
         counts = upstream.standin.counts
--- a/goldcresthoist/daemon/upstream_call.py
+++ b/goldcresthoist/daemon/upstream_call.py
@@ -28,8 +28,11 @@
         "call",
         "connection",
         "deadline",
+        "failure",
+        "relayed",
         "rule",
         "sender",
+        "sent",
         "server",
         "upstream",
     )
@@ -42,17 +45,29 @@
         self.server = server
         self.connection = None
         self.sender = None
+        self.sent = False
+        self.relayed = False
+        self.failure = None
+
+    def begin(self):
+        """Send the request now if there is an idle connection."""
+        self.connection = self.upstream.acquire_idle()
+        if self.connection is not None:
+            try:
+                self.connection.on_answer = self._relay_at_once
+                self.send()
+                self.sent = True
+            except UpstreamError as exc:
+                self.failure = exc
 
     async def run(self):
         """Run the call; return whether its answer was complete."""
-        self.connection = self.upstream.acquire_idle()
+        if self.connection is None:
+            self.begin()
         if self.connection is None and not await self.connect():
             return False
         try:
-            self.send()
-            answer = await self.connection.head()
-            await self.relay(answer)
-            return True
+            return await self._finish()
         except UpstreamError as exc:
             await self.fail(exc)
         except LinkError:
@@ -62,6 +77,28 @@
             self.release()
         return False
 
+    async def _finish(self):
+        if self.call.cancelled:
+            return False
+        if self.failure is not None:
+            raise self.failure
+        if not self.sent:
+            self.send()
+        answer = await self.connection.head()
+        if not self.relayed:
+            await self.relay(answer)
+        return True
+
+    def _relay_at_once(self, answer):
+        """Relay an answer that is whole from the callback that received it."""
+        body = answer.body
+        if not body.ended or body.size > MAX_BODY_BYTES or self.call.done:
+            return
+        self.relayed = True
+        load = self.server.load_report()
+        headers = end_to_end(answer.headers)
+        self.call.reply(answer.status, headers, load, body.take(), True)
+
     async def connect(self):
         """Make a connection; refuse the call when that fails."""
         try:
@@ -128,6 +165,7 @@
     def release(self):
         """Return the connection, which is closed unless the exchange is complete."""
         self.server.active.discard(self)
+        self.connection.on_answer = None
         if self.sender is not None and not self.sender.done():
             # The upstream answered early; the rest of the body must not be read as
             # another request.
--- a/goldcresthoist/links/acceptor.py
+++ b/goldcresthoist/links/acceptor.py
@@ -36,7 +36,8 @@
 class LinkServer:
     """Accepts links of other daemons.
 
-    ``service`` has ``serve(call)`` (a coroutine for one `IncomingCall`),
+    ``service`` has ``begin(call)``, which may start or refuse an `IncomingCall` at
+    once, ``serve(call)``, a coroutine that does the rest,
     ``load_report()``, ``draining`` and ``add_suspect(fingerprint, count, instance)``.
     """
 
@@ -167,10 +168,14 @@
             load = self.service.load_report()
             call.refuse("draining", "the upstream is leaving", load)
             return
+        self.service.begin(call)
+        if call.done:
+            return
         self.calls[message.call_id] = call
         call.task = self.loop.create_task(self._serve(call))
 
     async def _serve(self, call):
+        call.started = True
         try:
             await self.service.serve(call)
         finally:
--- a/goldcresthoist/links/calls.py
+++ b/goldcresthoist/links/calls.py
@@ -28,15 +28,19 @@
 
 
 class OutcomeWaiter:
-    """The first outcome of a call, for one waiting task."""
+    """The first outcome of a call, for one waiting task.
 
-    __slots__ = ("error", "known", "loop", "message", "waiter")
+    ``on_set(message)`` is called before the task gets its turn.
+    """
+
+    __slots__ = ("error", "known", "loop", "message", "on_set", "waiter")
 
     def __init__(self, loop):
         self.loop = loop
         self.message = None
         self.error = None
         self.known = False
+        self.on_set = None
         self.waiter = None
 
     def set(self, message):
@@ -44,6 +48,9 @@
         if not self.known:
             self.known = True
             self.message = message
+            if self.on_set is not None:
+                self.on_set(message)
+                self.on_set = None
             self._wake()
 
     def fail(self, error):
@@ -217,6 +224,9 @@
     def __init__(self, link, message):
         super().__init__(link, message.call_id, STREAM_CREDIT_BYTES)
         self.open = message
+        self.begun = None
+        self.started = False
+        self.cancelled = False
         self.task = None
         if message.end:
             self.body.end()
@@ -253,5 +263,8 @@
     def cancel(self):
         """Stop the task that serves the call."""
         self.done = True
-        if self.task is not None:
+        self.cancelled = True
+        # A task that is cancelled before its first step runs none of its code, and so
+        # would not release what the call holds. It looks at ``cancelled`` instead.
+        if self.started and self.task is not None:
             self.task.cancel()
--- a/goldcresthoist/links/local.py
+++ b/goldcresthoist/links/local.py
@@ -25,8 +25,11 @@
         if service.draining:
             load = service.load_report()
             self.serving.refuse("draining", "the upstream is leaving", load)
-        else:
-            self.serving.task = loop.create_task(service.serve(self.serving))
+            return
+        serving = self.serving
+        service.begin(serving)
+        if not serving.done:
+            serving.task = loop.create_task(service.serve(serving))
 
     async def outcome(self, timeout_s=None):
         """Return the outcome, or None when there is none after ``timeout_s``."""
@@ -70,6 +73,9 @@
         self.open = message
         self.body = BodyStream(caller.window.grant)
         self.window = CreditWindow(STREAM_CREDIT_BYTES)
+        self.begun = None
+        self.started = False
+        self.cancelled = False
         self.task = None
         self.done = False
         if message.end:
@@ -109,9 +115,10 @@
         self._part()
 
     def cancel(self):
-        """Stop the task that serves the call."""
+        """Stop the task that serves the call, as `IncomingCall.cancel` does."""
         self.done = True
-        if self.task is not None:
+        self.cancelled = True
+        if self.started and self.task is not None:
             self.task.cancel()
 
     def _end(self):
--- a/goldcresthoist/links/tests/builders.py
+++ b/goldcresthoist/links/tests/builders.py
@@ -31,6 +31,9 @@
         """Keep a suspect."""
         self.suspects.append((fingerprint, count, instance))
 
+    def begin(self, call):
+        """Leave all to `serve`."""
+
     async def serve(self, call):
         """Keep a call until it is done."""
         self.calls.append(call)
@@ -49,7 +52,7 @@
         "lookup",
         "read",
         "GET",
-        "/",
+        "/items",
         ((b"host", b"a"),),
         1_000_000,
         "",
--- a/goldcresthoist/tests/pathnode.py
+++ b/goldcresthoist/tests/pathnode.py
@@ -86,7 +86,9 @@
         self.link_server = LinkServer(
             member.instance, SHARED_KEY, self.server, self.counters
         )
-        self.caller_server = CallerServer(self.router.handle, self.counters)
+        self.caller_server = CallerServer(
+            self.router.handle, self.counters, self.router.begin
+        )
 
     async def start(self):
         """Listen for links and callers."""
--- a/goldcresthoist/upstreams/connection.py
+++ b/goldcresthoist/upstreams/connection.py
@@ -30,12 +30,14 @@
 class UpstreamConnection(asyncio.Protocol):
     """Sends one request at a time and parses its answer.
 
-    ``on_lost(connection)`` is called once when the connection has ended.
+    ``on_lost(connection)`` is called once when the connection has ended, and
+    ``on_answer(answer)`` when the head of an answer has arrived.
     """
 
     def __init__(self, on_lost):
         self.on_lost = on_lost
         self.loop = asyncio.get_running_loop()
+        self.on_answer = None
         self.transport = None
         self.poller = None
         self.parser = None
@@ -141,6 +143,8 @@
                 self._fail(UpstreamBroken("the headers of the answer are too large"))
             return
         if not self.head_waiter.done():
+            if self.on_answer is not None:
+                self.on_answer(self.answer)
             self.head_waiter.set_result(None)
         if self.answer.body.size > MAX_UNREAD_BODY_BYTES and not self.read_paused:
             self.read_paused = True
