--- a/goldcresthoist/daemon/serving.py
+++ b/goldcresthoist/daemon/serving.py
@@ -166,13 +166,20 @@
         if rule is None:
             self._refuse(call, "not-ready", "no configuration for this work yet")
             return
-        if self.suspects.refused(message.fingerprint, now, message.crash_count):
-            self._refuse(call, "crash-suspect", "the request crashed two upstreams")
+        if self._refuse_crash_suspect(call):
+            return
+        if message.hedge and self.suspects.count(message.fingerprint, now):
+            # Two copies of a suspect could end two upstreams before either is counted.
+            self._refuse(call, "saturated", "a crash suspect is not hedged")
             return
         if not await self._take_suspect_turn(message, deadline):
             text = "other requests that may crash the upstream run first"
             self._refuse(call, "saturated", text, SUSPECT_RETRY_MS)
             return
+        if self._refuse_crash_suspect(call):
+            # The turn before this one may have ended with its second crash.
+            self._end_suspect(message.fingerprint, False)
+            return
         slot = None
         try:
             now = monotonic()
@@ -192,6 +199,15 @@
         else:
             await self._run_in_slot(upstream_call, slot)
 
+    def _refuse_crash_suspect(self, call):
+        message = call.open
+        refused = self.suspects.refused(
+            message.fingerprint, monotonic(), message.crash_count
+        )
+        if refused:
+            self._refuse(call, "crash-suspect", "the request crashed two upstreams")
+        return refused
+
     async def _take_suspect_turn(self, message, deadline):
         """Wait until no other suspect runs; return at once for other requests."""
         start = self.suspects.try_start
--- a/goldcresthoist/tests/fleet.py
+++ b/goldcresthoist/tests/fleet.py
@@ -4,6 +4,7 @@
 """
 
 import http.client
+import itertools
 import json
 import subprocess
 import sys
@@ -62,8 +63,7 @@
 class Target:
     """One upstream with the daemon beside it."""
 
-    def __init__(self, fleet, service, number):
-        domain = FAILURE_DOMAINS[number % len(FAILURE_DOMAINS)]
+    def __init__(self, fleet, service, number, domain):
         self.fleet = fleet
         self.name = f"{service}-{number + 1}"
         self.service = service
@@ -83,10 +83,15 @@
         self.upstream = None
         self.daemon = None
 
+    def change_settings(self, values):
+        """Replace some settings; the daemon has them from its next start."""
+        self.settings |= values
+        self.settings_path = write_settings(self.fleet.folder, self.settings)
+
     def start_upstream(self):
         """Start the upstream stand-in."""
         port = self.upstream_address.rpartition(":")[2]
-        arguments = [f"{STANDINS}.upstream", "--port", port, "--service-ms", "5"]
+        arguments = [f"{STANDINS}.upstream", *_listen(port), "--service-ms", "5"]
         self.upstream = self.fleet.start(f"{self.name}-upstream", arguments)
 
     def start_daemon(self):
@@ -103,6 +108,11 @@
         except (OSError, http.client.HTTPException):
             return None
 
+    def alive_members(self):
+        """Return how many daemons this daemon knows as alive, itself included."""
+        status = call(self.operators, "GET", "/status").document()
+        return status["members"]["alive"]
+
     def version(self, team):
         """Return the version of a team's configuration in force here."""
         status = call(self.operators, "GET", "/status").document()
@@ -139,8 +149,9 @@
         self.program = program
         self.processes = []
         self.table_port, self.objects_port = free_ports(2)
+        domains = itertools.cycle(FAILURE_DOMAINS)
         self.targets = [
-            Target(self, service, number)
+            Target(self, service, number, next(domains))
             for service, count in targets.items()
             for number in range(count)
         ]
@@ -164,7 +175,7 @@
             ("table", self.table_port),
             ("objects", self.objects_port),
         ):
-            self.start(module, [f"{STANDINS}.{module}", "--port", str(port)])
+            self.start(module, [f"{STANDINS}.{module}", *_listen(port)])
             wait_until(lambda port=port: _answers(port), f"stand-in {module} answers")
         for target in self.targets:
             target.start_upstream()
@@ -198,6 +209,14 @@
                 f"{target.name} has version {version} of {team} in force",
             )
 
+    def wait_until_met(self):
+        """Wait until every daemon knows all others."""
+        for target in self.targets:
+            wait_until(
+                lambda target=target: target.alive_members() == len(self.targets),
+                f"{target.name} knows {len(self.targets)} daemons",
+            )
+
     def of_service(self, service):
         """Return the targets of a service."""
         return [target for target in self.targets if target.service == service]
@@ -234,6 +253,10 @@
             raise RuntimeError(f"{process.name} ended: {process.log_tail()}")
 
 
+def _listen(port):
+    return ["--host", LOOPBACK, "--port", str(port)]
+
+
 def _answers(port):
     try:
         return call(f"{LOOPBACK}:{port}", "GET", "/-/calls")
