callpath: tell other daemons at once when the own upstream accepts no connections

Cause: after a crash, other daemons learned from refusals, one call after another, that an upstream was gone; keyed work whose daemon had no retries left was refused with no-upstream although another upstream was free.

Change: the connection pool keeps whether the upstream accepts connections, tries it again every 100 ms, and the daemon announces the change on every link with the flag that draining uses. The entry daemon reads the load of its own upstream when it refreshes its members. A test for a caller that sends requests and reads no answers.

--- a/goldcresthoist/callers/tests/test_caller_server.py
+++ b/goldcresthoist/callers/tests/test_caller_server.py
@@ -153,6 +153,26 @@
         self.read_allowed.set()
         self.assertEqual(len((await caller.answer()).body), size + 2)
 
+    async def test_caller_that_reads_no_answers_is_stopped(self):
+        async def handle(request, exchange):
+            self.handled.append(request)
+            exchange.start(200, (), answer, True)
+
+        answer = bytes(256 * 1024)
+        count = 200
+        self.server.handler = handle
+        caller = await self.connect()
+        for _ in range(count):
+            caller.send("GET", "/a")
+        await eventually(lambda: self.server.connections)
+        (connection,) = self.server.connections
+        await eventually(lambda: connection.write_paused)
+        self.assertLess(len(self.handled), count)
+        held = connection.transport.get_write_buffer_size()
+        self.assertLess(held, 2 * len(answer))
+        for _ in range(count):
+            self.assertEqual(len((await caller.answer()).body), len(answer))
+
     async def test_leaving_caller_fails_the_body(self):
         caller = await self.connect()
         caller.write(b"POST /a HTTP/1.1\r\n" + HOST + b"Content-Length: 9\r\n\r\nxy")
--- a/goldcresthoist/daemon/routes.py
+++ b/goldcresthoist/daemon/routes.py
@@ -43,6 +43,7 @@
     def refresh(self, now):
         """Follow the membership."""
         self.refresh_due = now + REFRESH_INTERVAL_S
+        self._read_own_load(now)
         members = self.router.directory.members_of(self.name)
         if members == self.members:
             return
@@ -90,6 +91,13 @@
                 task.cancel()
         return bool(done)
 
+    def _read_own_load(self, now):
+        """Take over the load of the own upstream, which no link reports."""
+        view = self.views.get(self.router.instance)
+        if view is not None:
+            load = self.router.server.load_report()
+            self.router.chooser.record_load(view, load, now)
+
     def _add(self, member, now):
         if self.views.get(member.instance) is None:
             self.views.add(
--- a/goldcresthoist/daemon/serving.py
+++ b/goldcresthoist/daemon/serving.py
@@ -3,6 +3,8 @@
 import asyncio
 from time import monotonic
 
+import msgspec
+
 from goldcresthoist.balance import AdmissionRefused, Draining, Saturated
 from goldcresthoist.config.model import AtMostOnce, Upload
 from goldcresthoist.daemon.kinds import KEYED
@@ -56,6 +58,9 @@
         self.configurations = configurations
         self.make_admission = make_admission
         self.upstream = upstream
+        upstream.on_change = self._on_upstream_change
+        # Called when the load report has changed in a way that others must know.
+        self.announce_load = None
         self.suspects = suspects
         self.once = OnceRunner(service, upstream, ledger)
         # An `UploadRunner`, set by a daemon that has an object store.
@@ -78,8 +83,18 @@
     def load_report(self):
         """Return the load as it is told to other daemons."""
         if self.admission is None:
-            return LoadReport(0, 0, 0, 0.0, self.draining)
-        return self.admission.report()
+            return LoadReport(0, 0, 0, 0.0, self.draining or self.upstream.down)
+        report = self.admission.report()
+        if self.upstream.down:
+            # Other daemons must not learn it from refusals, one call after another.
+            report = msgspec.structs.replace(report, draining=True)
+        return report
+
+    def _on_upstream_change(self):
+        state = "down" if self.upstream.down else "up"
+        log_event("warning", "upstream changed", service=self.service, state=state)
+        if self.announce_load is not None:
+            self.announce_load()
 
     def start_draining(self):
         """Refuse new and waiting calls from now on; running calls go on."""
--- a/goldcresthoist/daemon/tests/test_resilience.py
+++ b/goldcresthoist/daemon/tests/test_resilience.py
@@ -2,10 +2,12 @@
 
 import asyncio
 import unittest
+from time import monotonic
 
 from goldcresthoist.daemon.tests.builders import RoutingCase
 from goldcresthoist.tests.cluster import eventually
 from goldcresthoist.tests.fakes import FakeLedger
+from goldcresthoist.upstreams import UpstreamUnreachable
 
 
 def total_started(nodes):
@@ -13,6 +15,13 @@
     return sum(node.standin.counts["started"] for node in nodes)
 
 
+def refreshed(node):
+    """Return the view that a node has of ``lookup-0`` now."""
+    route = node.router.routes["lookup"]
+    route.refresh(monotonic())
+    return route.views.get("lookup-0")
+
+
 class RetryTest(RoutingCase):
     """Guards against failures that a retry would have covered, and retry storms."""
 
@@ -40,6 +49,26 @@
         self.assertLessEqual(total_started(upstreams), 1.1 * calls)
         self.assertGreater(entry.counters.total("retries_denied"), 0)
 
+    async def test_upstream_that_is_down_is_avoided_until_it_returns(self):
+        entry, upstreams = await self.start_path(2, retry_share=0.0)
+        lost = upstreams[0]
+        for node in (entry, upstreams[1], lost):
+            caller = await self.caller(node)
+            await caller.call("GET", "/lookup/items")
+        port = lost.upstream.port
+        lost.standin.drop_everything()
+        with self.assertRaises(UpstreamUnreachable):
+            await lost.upstream.acquire()
+        for node in (entry, upstreams[1], lost):
+            caller = await self.caller(node)
+            await eventually(lambda: refreshed(node).draining)
+            for _ in range(10):
+                answer = await caller.call("GET", "/lookup/items")
+                self.assertEqual(answer.status, 200)
+        await lost.standin.listen("127.0.0.1", port)
+        for node in (entry, upstreams[1], lost):
+            await eventually(lambda: not refreshed(node).draining)
+
     async def test_refused_once_work_runs_elsewhere(self):
         entry, upstreams = await self.start_path(
             2, ledger=FakeLedger(), retry_share=1.0
--- a/goldcresthoist/links/acceptor.py
+++ b/goldcresthoist/links/acceptor.py
@@ -45,6 +45,7 @@
         self.instance = instance
         self.key = key
         self.service = service
+        service.announce_load = self.announce_load
         self.counters = counters
         self.links = set()
         self.listener = None
--- a/goldcresthoist/upstreams/pool.py
+++ b/goldcresthoist/upstreams/pool.py
@@ -10,6 +10,7 @@
 
 CONNECT_TIMEOUT_S = 1.0
 KEEP_OPEN = 4
+RECOVERY_INTERVAL_S = 0.1
 CRASH_EVIDENCE_WAIT_S = 0.02
 IDLE_CLOSE_RACE_S = 0.005
 
@@ -23,6 +24,12 @@
         Address of the upstream.
     limit : int
         Most connections at the same time.
+
+    Attributes
+    ----------
+    down : bool
+        Whether the upstream accepts no connections. It is tried again in the
+        background, and ``on_change()`` is called at each change.
     """
 
     def __init__(self, host, port, limit=220):
@@ -34,6 +41,9 @@
         self.recently_lost = deque(maxlen=16)
         self.serial = 0
         self.refill = None
+        self.down = False
+        self.on_change = None
+        self.recovery = None
         self.closed = False
 
     def acquire_idle(self):
@@ -88,8 +98,9 @@
     async def close(self):
         """Close all connections."""
         self.closed = True
-        if self.refill is not None:
-            self.refill.cancel()
+        for task in (self.refill, self.recovery):
+            if task is not None:
+                task.cancel()
         for connection in tuple(self.connections):
             connection.close()
         await asyncio.sleep(0)
@@ -111,11 +122,15 @@
                     lambda: UpstreamConnection(self._on_lost), self.host, self.port
                 )
         except (OSError, TimeoutError) as exc:
+            self._mark_down()
             address = f"{self.host}:{self.port}"
             raise UpstreamUnreachable(f"cannot connect to {address}: {exc}") from exc
         self.serial += 1
         connection.serial = self.serial
         self.connections.add(connection)
+        if self.down:
+            self.down = False
+            self._tell_change()
         return connection
 
     def _on_lost(self, connection):
@@ -124,6 +139,25 @@
         if connection in self.idle:
             self.idle.remove(connection)
 
+    def _mark_down(self):
+        if self.down or self.closed:
+            return
+        self.down = True
+        self.recovery = asyncio.create_task(self._recover())
+        self._tell_change()
+
+    def _tell_change(self):
+        if self.on_change is not None:
+            self.on_change()
+
+    async def _recover(self):
+        while self.down:
+            await asyncio.sleep(RECOVERY_INTERVAL_S)
+            try:
+                self.idle.append(await self._connect())
+            except UpstreamUnreachable:
+                continue
+
     async def _refill(self):
         while len(self.idle) < KEEP_OPEN and not self.closed:
             try:
