--- a/goldcresthoist/daemon/routes.py
+++ b/goldcresthoist/daemon/routes.py
@@ -43,6 +43,7 @@
     def refresh(self, now):
         """Follow the membership."""
         self.refresh_due = now + REFRESH_INTERVAL_S
+        self._read_own_load(now)
         members = self.router.directory.members_of(self.name)
         if members == self.members:
             return
@@ -60,8 +61,12 @@
         Upstreams without a usable link are passed over; the peer of the own upstream
         is None.
         """
-        if now >= self.refresh_due:
+        if self.members is None:
             self.refresh(now)
+        elif now >= self.refresh_due:
+            # The call does not wait for the refresh; the next ones profit from it.
+            self.refresh_due = now + REFRESH_INTERVAL_S
+            self.router.loop.call_soon(self.refresh, now)
         choose = self.router.chooser.choose
         while (view := choose(self.views, rule, now, exclude)) is not None:
             if view.instance == self.router.instance:
@@ -90,6 +95,13 @@
                 task.cancel()
         return bool(done)
 
+    def _read_own_load(self, now):
+        """Take over the load of the own upstream, which no link reports."""
+        view = self.views.get(self.router.instance)
+        if view is not None:
+            load = self.router.server.load_report()
+            self.router.chooser.record_load(view, load, now)
+
     def _add(self, member, now):
         if self.views.get(member.instance) is None:
             self.views.add(
