Keep the mark of a lost domain until 2% of its members are dead

Cause: a test of the partition heal showed that the last tenth of a domain was left to single refutations, because the mark was cleared while the comparison still ran. Change: the mark is cleared at 2% instead of 10%; tests of the comparison across a partition and of limited updates.

--- a/goldcresthoist/control/tests/test_member_sync.py
+++ b/goldcresthoist/control/tests/test_member_sync.py
@@ -6,8 +6,27 @@
 from goldcresthoist.control.tests.builders import Fleet
 from goldcresthoist.gossip import MemberState
 from goldcresthoist.gossip.messages import MemberRecord
-from goldcresthoist.gossip.reconcile import bucket_digests
+from goldcresthoist.gossip.reconcile import (
+    apply_difference,
+    bucket_digests,
+    entries_of,
+    merge_entries,
+)
 from goldcresthoist.gossip.tests.builders import make_member, until, virtual_time
+from goldcresthoist.gossip.view import View
+
+ALIVE, DEAD = MemberState.ALIVE, MemberState.DEAD
+
+
+def make_view(name, number, domain):
+    """Return the view of a daemon that knows nobody."""
+    return View(make_member(name, number, domain), lambda: 0.0)
+
+
+def update_of(view, member, state):
+    """Return the update that gives a held member another state."""
+    slot = view.roster.slot_of(member.instance)
+    return view.roster.update_of(slot)._replace(state=state)
 
 
 def put(node, name, number, state=MemberState.ALIVE, incarnation=1, domain="d9"):
@@ -92,6 +111,70 @@
         self.assertTrue(await nodes[0].sync.sync_with(member))
 
 
+class ReviveTest(unittest.TestCase):
+    """Guards against deaths by a partition that outlive it, or undo real deaths."""
+
+    def _sides(self):
+        """Return two views that hold each other's domain as lost."""
+        views = [make_view("a", 1, "d1"), make_view("b", 2, "d2")]
+        for view, near, far in ((views[0], "d1", "d2"), (views[1], "d2", "d1")):
+            for n in range(20):
+                for domain, state in ((near, ALIVE), (far, DEAD)):
+                    number = 100 * int(domain[1]) + n
+                    member = make_member(f"{domain}-{n}", number, domain)
+                    view.apply_member(member, spread=False)
+                    view.apply_state(update_of(view, member, state), spread=False)
+        return views
+
+    def _sync(self, one, other):
+        buckets = bytes(range(256))
+        entries = entries_of(one, buckets, other.record.failure_domain)
+        difference = merge_entries(other, buckets, entries, one.record.failure_domain)
+        for member in apply_difference(one, difference):
+            other.apply_member(member, spread=False)
+
+    @virtual_time
+    async def test_both_sides_end_with_the_same_live_members(self):
+        one, other = self._sides()
+        self.assertEqual((one.lost_domains, other.lost_domains), ({"d2"}, {"d1"}))
+        self._sync(one, other)
+        for view in (one, other):
+            self.assertEqual(len(view.roster.dead), 0)
+            self.assertEqual(view.lost_domains, set())
+        self.assertEqual(one.digest(), other.digest())
+
+    @virtual_time
+    async def test_member_that_died_meanwhile_stays_dead(self):
+        one, other = self._sides()
+        gone = make_member("d1-3", 103, "d1")
+        one.apply_state(update_of(one, gone, DEAD), spread=False)
+        self._sync(one, other)
+        rosters = one.roster, other.roster
+        held = {roster.states[roster.slot_of("d1-3")] for roster in rosters}
+        self.assertEqual(held, {DEAD})
+
+    @virtual_time
+    async def test_single_death_wins_over_a_stale_view(self):
+        one, other = self._sides()
+        self._sync(one, other)
+        member = make_member("d2-5", 205, "d2")
+        one.apply_state(update_of(one, member, DEAD), spread=False)
+        self._sync(other, one)
+        self.assertEqual(other.roster.states[other.roster.slot_of("d2-5")], DEAD)
+
+    @virtual_time
+    async def test_deaths_by_the_partition_are_not_sent_after_it(self):
+        one, _ = self._sides()
+        member = make_member("d2-5", 205, "d2")
+        record = MemberRecord.from_member(member)
+        one.apply_member(record.with_state(2, ALIVE))
+        one.apply_state(update_of(one, member, DEAD))
+        self.assertEqual(len(one.queue), 1)
+        returned = make_member("d2-6", 206, "d2")
+        one.apply_member(MemberRecord.from_member(returned).with_state(2, ALIVE))
+        self.assertEqual(len(one.queue), 0)
+
+
 class PartitionTest(unittest.TestCase):
     """Guards against a region that returns with a storm, or stays lost."""
 
--- a/goldcresthoist/gossip/tests/test_parts.py
+++ b/goldcresthoist/gossip/tests/test_parts.py
@@ -80,6 +80,18 @@
         queue.put(3, b"new", own_service=False)
         self.assertEqual(queue.take(11, 9), [b"own", b"other", b"new"])
 
+    def test_limited_updates_end_earlier_and_can_be_dropped(self):
+        queue = UpdateQueue()
+        queue.put(1, b"mass", own_service=False, limit=2)
+        queue.put(2, b"rare", own_service=False)
+        sent = [data for _ in range(9) for data in queue.take(99, 5)]
+        self.assertEqual((sent.count(b"mass"), sent.count(b"rare")), (2, 5))
+        queue.put(1, b"mass", own_service=False, limit=2)
+        queue.put(2, b"rare", own_service=False)
+        queue.discard_limited()
+        self.assertEqual(queue.take(99, 5), [b"rare"])
+        self.assertEqual(queue.limits, {})
+
     def test_newer_update_replaces_the_older_one(self):
         queue = UpdateQueue()
         queue.put(1, b"old", own_service=True)
--- a/goldcresthoist/gossip/view.py
+++ b/goldcresthoist/gossip/view.py
@@ -21,7 +21,7 @@
 # A domain counts as lost from the share of dead members at which it is set to the
 # share at which it is cleared; the gap keeps the mark while a domain returns.
 LOST_SHARE = 0.5
-FOUND_SHARE = 0.1
+FOUND_SHARE = 0.02
 MIN_LOST_MEMBERS = 2
 
 
