Greet first peers again so that separate groups merge

Change: a task asks every first peer once, about one a second, and one at random every 30 s for as long as the daemon runs. Test builder: a name keeps its address over a restart; before, a restarted node took the address of another one, and test_restart_at_once passed although that one was displaced.

--- a/goldcresthoist/gossip/joining.py
+++ b/goldcresthoist/gossip/joining.py
@@ -8,7 +8,7 @@
 from goldcresthoist.gossip.exchange import format_address, new_nonce
 from goldcresthoist.gossip.messages import Join
 
-__all__ = ["expand_hints", "join_peers"]
+__all__ = ["expand_hints", "join_peers", "stay_joined"]
 
 
 def expand_hints(hints):
@@ -53,6 +53,26 @@
         await asyncio.sleep(options.join_interval_s * random.uniform(0.5, 1.5))
 
 
+async def stay_joined(exchange, addresses, hints):
+    """Greet first peers again and again, all soon and then one now and then.
+
+    Daemons that start at the same time may join different first peers and would
+    otherwise remain in groups that never hear of each other.
+    """
+    options = exchange.options
+    guesses = expand_hints(hints)
+    peers = [address for address in addresses if address != exchange.address]
+    for address in random.sample(peers, len(peers)):
+        await asyncio.sleep(options.join_interval_s * random.uniform(0.5, 1.5))
+        _send_join(exchange, address)
+    while True:
+        await asyncio.sleep(options.rejoin_interval_s * random.uniform(0.5, 1.5))
+        guess = next(guesses, exchange.address)
+        for address in {guess, *random.sample(peers, min(1, len(peers)))}:
+            if address != exchange.address:
+                _send_join(exchange, address)
+
+
 async def _try_hints(exchange, guesses):
     """Send `Join` to one second's worth of guesses; return whether one answered."""
     options = exchange.options
--- a/goldcresthoist/gossip/membership.py
+++ b/goldcresthoist/gossip/membership.py
@@ -9,7 +9,7 @@
 from goldcresthoist.gossip.answering import Answering
 from goldcresthoist.gossip.errors import GossipError
 from goldcresthoist.gossip.exchange import Exchange, new_nonce
-from goldcresthoist.gossip.joining import join_peers
+from goldcresthoist.gossip.joining import join_peers, stay_joined
 from goldcresthoist.gossip.member import Member, MemberState
 from goldcresthoist.gossip.messages import Version, VersionQuery
 from goldcresthoist.gossip.options import GossipOptions
@@ -117,6 +117,8 @@
     def join(self, addresses=(), hints=()):
         """Look for first peers, in a task of its own, until one answers.
 
+        A second task greets them now and then, for as long as the daemon runs.
+
         Parameters
         ----------
         addresses : sequence of str
@@ -129,8 +131,9 @@
         asyncio.Task
             Ends when a peer has answered.
         """
-        search = join_peers(self.exchange, tuple(addresses), tuple(hints))
-        return self._run(search)
+        where = tuple(addresses), tuple(hints)
+        self._run(keep_running(stay_joined, self.exchange, *where))
+        return self._run(join_peers(self.exchange, *where))
 
     async def close(self):
         """Stop the tasks and close the socket, without telling peers."""
--- a/goldcresthoist/gossip/options.py
+++ b/goldcresthoist/gossip/options.py
@@ -29,6 +29,7 @@
     rumour_peers: int = 4
     summary_interval_s: float = 0.5
     join_interval_s: float = 1.0
+    rejoin_interval_s: float = 30.0
     join_pages: int = 32
     hints_per_s: float = 20.0
     expiry_interval_s: float = 0.5
--- a/goldcresthoist/gossip/tests/builders.py
+++ b/goldcresthoist/gossip/tests/builders.py
@@ -158,18 +158,18 @@
         self.options = options
         self.network = FakeNetwork()
         self.nodes = {}
+        self.numbers = {}
         self.wall_clock_s = WALL_CLOCK_START_S
 
-    async def add(self, name, domain="d1", service="s", incarnation=1):
-        """Start a membership that joins through all others."""
-        number = len(self.nodes) + 1
-        if name in self.nodes:
-            number = list(self.nodes).index(name) + 1
+    async def add(self, name, domain="d1", service="s", incarnation=1, peers=None):
+        """Start a membership that joins through ``peers``, by default all others."""
+        number = self.numbers.setdefault(name, len(self.numbers) + 1)
         member = make_member(name, number, domain, service, incarnation)
         node = Membership(
             member, SHARED_KEY, self.options, wall_clock=lambda: self.wall_clock_s
         )
-        peers = [_address(other) for other in self.nodes.values()]
+        if peers is None:
+            peers = [_address(other) for other in self.nodes.values()]
         self.nodes[name] = node
         self.network.attach(node)
         await node.start()
--- a/goldcresthoist/gossip/tests/test_membership.py
+++ b/goldcresthoist/gossip/tests/test_membership.py
@@ -37,6 +37,20 @@
         await until(lambda: node.member("a") is not None)
         self.assertIsNotNone(cluster.nodes["a"].member("late"))
 
+    @virtual_time
+    async def test_groups_that_never_met_find_each_other(self):
+        cluster = Cluster()
+        first = [await cluster.add("a0"), await cluster.add("a1")]
+        second = [await cluster.add("b0", peers=()), await cluster.add("b1", peers=())]
+        cluster.network.cut(first, second)
+        seeds = [node.exchange.address for node in (first[0], *second)]
+        joins = [node.join(seeds) for node in second]
+        await until(lambda: all(join.done() for join in joins))
+        await asyncio.sleep(100)
+        self.assertIsNone(cluster.nodes["a0"].member("b0"))
+        cluster.network.heal()
+        await until(cluster.all_alive, 100)
+
     @virtual_time
     async def test_members_of_lists_one_service(self):
         cluster = Cluster()
