--- a/goldcresthoist/operations/expiry.py
+++ b/goldcresthoist/operations/expiry.py
@@ -10,12 +10,11 @@
 from goldcresthoist.table import (
     Always,
     Applied,
-    Equals,
     Key,
     Put,
 )
 
-__all__ = ["KEEP_S", "UploadExpiry", "index_put"]
+__all__ = ["EXPIRED", "KEEP_S", "UploadExpiry", "index_put"]
 
 # Time that an upload is kept after its last part.
 KEEP_S = 48 * 3600
@@ -24,7 +23,7 @@
 QUIET_S = 3600
 PAGE_UPLOADS = 100
 WRITE_TIMEOUT_S = 10.0
-_EXPIRED = "upload was abandoned"
+EXPIRED = "upload was abandoned"
 _KEEPS_PARTS = (State.STARTED, State.UNKNOWN)
 
 
@@ -72,7 +71,7 @@
 
         Raises
         ------
-        TableUnavailable, ObjectsUnavailable
+        TableUnavailable, OutcomeUnknown, ObjectsUnavailable
             The sweep can be begun again at any time.
         """
         deleted = 0
@@ -111,15 +110,15 @@
         quiet = now - sighting.since >= QUIET_S
         if not quiet or self.clock() < record.upload.expires_s:
             return False
-        new = record.changed(State.REFUSED, note=_EXPIRED)
+        new = record.changed(State.REFUSED, note=EXPIRED)
         written = await self.records.write(record, new, Backoff(now + WRITE_TIMEOUT_S))
         return isinstance(written, Applied)
 
     async def delete(self, item):
         """Delete the parts and the index item of an upload."""
         await self.parts.delete_all(item["upload_id"])
-        key = Key(item["pk"], item["sk"])
-        await self.table.delete(key, Equals("upload_id", item["upload_id"]))
+        # The key names the upload, so another sweep can only have deleted the same.
+        await self.table.delete(Key(item["pk"], item["sk"]), Always())
 
 
 def _is_receiving(record, item):
--- /dev/null
+++ b/goldcresthoist/operations/tests/machines.py
@@ -0,0 +1,397 @@
+"""State machines of operations and uploads, checked against a simple oracle."""
+
+import asyncio
+from collections import defaultdict
+from contextlib import suppress
+
+from hypothesis import strategies as st
+from hypothesis.stateful import initialize, rule
+
+from goldcresthoist.objects import ObjectsUnavailable
+from goldcresthoist.operations import UploadExpiry
+from goldcresthoist.operations._parts import PartStore
+from goldcresthoist.operations._records import RecordTable, State
+from goldcresthoist.operations.errors import MissingPart
+from goldcresthoist.operations.expiry import EXPIRED, QUIET_S
+from goldcresthoist.operations.results import (
+    AlreadyFinished,
+    Appended,
+    Cancelled,
+    DigestMismatch,
+    OffsetMismatch,
+    Receiving,
+    Settlement,
+    Started,
+    StoreUnavailable,
+    Verified,
+)
+from goldcresthoist.operations.tests.builders import (
+    Daemon,
+    chunks_of,
+    in_time,
+    sha256_of,
+)
+from goldcresthoist.table import OutcomeUnknown, TableUnavailable
+from goldcresthoist.tests.fakes import Host
+from goldcresthoist.tests.machine_base import DAEMONS, FAULTS, SELDOM, PlatformMachine
+
+__all__ = ["LedgerMachine", "UploadMachine"]
+
+KEYS = st.sampled_from(["k1", "k2"])
+TRIES = 8
+SERVICE = "s"
+
+
+class RunOracle:
+    """Counts the runs of each key and remembers what callers were told."""
+
+    def __init__(self, violation):
+        self.violation = violation
+        self.runs = defaultdict(int)
+        self.runners = defaultdict(set)
+        self.told_not_run = set()
+
+    def run(self, key, owner):
+        """Note that the upstream runs the work of a key."""
+        self.runs[key] += 1
+        self.runners[key].add(owner)
+        if self.runs[key] > 1:
+            self.violation(f"{key} ran {self.runs[key]} times")
+        if key in self.told_not_run:
+            self.violation(f"{key} ran after not-run, scope operation")
+
+    def told(self, key, result):
+        """Note the result that a caller got."""
+        if isinstance(result, Cancelled):
+            self.told_not_run.add(key)
+            if self.runs[key]:
+                self.violation(f"not-run, scope operation, but {key} ran")
+        if isinstance(result, AlreadyFinished) and not result.author:
+            if result.answer != answer_of(key):
+                self.violation(f"{key} was answered {result.answer!r}")
+            if not self.runs[key]:
+                self.violation(f"{key} has an answer and did not run")
+
+
+def answer_of(key):
+    """Return the answer of the work of a key."""
+    return f"answer of {key}".encode()
+
+
+class LedgerMachine(PlatformMachine):
+    """Callers, operators and daemons that use one ledger table."""
+
+    def __init__(self):
+        super().__init__()
+        self.oracle = RunOracle(self.violation)
+        self.new_keys = 0
+
+    def make_daemon(self, name):
+        """Return a daemon over the fakes."""
+        return Daemon(self, name)
+
+    @rule(
+        index=DAEMONS,
+        key=KEYS,
+        reached=st.booleans(),
+        seconds=st.sampled_from([0.01, 5]),
+        work_s=st.sampled_from([0, 5]),
+        fault=FAULTS,
+    )
+    def call(self, index, key, reached, seconds, work_s, fault):
+        """Send an at-most-once request to a daemon."""
+        daemon = self.daemons[index]
+        self.add_fault(daemon, fault)
+        self.spawn(daemon, self._serve(daemon, key, reached, seconds, work_s))
+
+    @rule(key=KEYS, seconds=st.sampled_from([0.01, 5]), fault=FAULTS)
+    def call_everywhere(self, key, seconds, fault):
+        """Send a request to one daemon and repeat it through the others."""
+        for index in range(3):
+            self.call(index, key, True, seconds, 0, "" if index else fault)
+
+    @rule(index=DAEMONS, seconds=st.sampled_from([0.01, 5]), fault=FAULTS)
+    def call_new_key(self, index, seconds, fault):
+        """Send a request whose key nobody repeats."""
+        self.new_keys += 1
+        self.call(index, f"new {self.new_keys}", True, seconds, 0, fault)
+
+    @rule(index=DAEMONS)
+    def drop_calls(self, index):
+        """Close the callers' connections of a daemon."""
+        for task in self.tasks.pop(self.daemons[index].host.name, ()):
+            task.cancel()
+
+    @rule(index=DAEMONS, key=KEYS, sure=SELDOM)
+    def cancel(self, index, key, sure):
+        """Ask a daemon to cancel an operation."""
+        if not sure:
+            return
+        daemon = self.daemons[index]
+
+        async def cancel():
+            result = await daemon.ledger.cancel(SERVICE, key, in_time())
+            self.oracle.told(key, result)
+
+        self.spawn(daemon, cancel())
+
+    @rule(index=DAEMONS, key=KEYS)
+    def ask_state(self, index, key):
+        """Ask a daemon for the state of an operation."""
+        daemon = self.daemons[index]
+
+        async def ask():
+            self.oracle.told(key, await daemon.ledger.state(SERVICE, key))
+
+        self.spawn(daemon, ask())
+
+    @rule(index=DAEMONS)
+    def settle(self, index):
+        """Let an operator settle what the killed daemons left, truthfully."""
+        daemon = self.daemons[index]
+        self.spawn(daemon, self._settle(daemon))
+
+    async def _serve(self, daemon, key, reached, seconds, work_s):
+        result = await daemon.ledger.start(
+            SERVICE, key, f"digest of {key}", daemon.name, in_time(seconds)
+        )
+        self.oracle.told(key, result)
+        if not isinstance(result, Started):
+            return
+        if not reached:
+            await daemon.ledger.fail_not_run(result, in_time())
+            return
+        await asyncio.shield(self._run(daemon, key, result, work_s))
+
+    async def _run(self, daemon, key, started, work_s):
+        await daemon.host.step()
+        self.oracle.run(key, daemon.name)
+        await asyncio.sleep(work_s)
+        await daemon.host.step()
+        await daemon.ledger.finish(started, answer_of(key), in_time())
+
+    async def _settle(self, daemon):
+        page = await daemon.ledger.list_unknown(SERVICE, self.dead.__contains__)
+        for operation in page.operations:
+            ran = operation.owner in self.oracle.runners[operation.key]
+            word = Settlement.FINISHED if ran else Settlement.REFUSED
+            await daemon.ledger.settle(operation, word, "ann", "", in_time())
+
+    def check_recovered(self):
+        """Check that nothing hangs that has a living owner."""
+        records = RecordTable(self.table.client(Host("check")))
+        for _, key in list(self.table.items):
+            record = self.loop.run_until_complete(records.get(SERVICE, key))
+            state = record.state if record else None
+            if state == State.STARTED and record.owner not in self.dead:
+                self.violation(f"{key} is started for ever by {record.owner}")
+            if self.oracle.runs[key] and state not in (State.STARTED, State.FINISHED):
+                self.violation(f"{key} ran and is {state}")
+            if not self.oracle.runs[key] and state == State.FINISHED:
+                self.violation(f"{key} did not run and is finished")
+
+
+BODIES = {"k1": bytes(range(24)), "k2": b"short"}
+
+
+class UploadMachine(PlatformMachine):
+    """Callers that send parts through any daemon, in any order and twice."""
+
+    def __init__(self):
+        super().__init__()
+        self.oracle = RunOracle(self.violation)
+        self.acknowledged = defaultdict(int)
+        self.progress_at = {}
+        self.table.on_write = self._check_expiry
+        self.wall = 0.0
+
+    def make_daemon(self, name):
+        """Return a daemon with small parts and little memory."""
+        daemon = Daemon(self, name, part_bytes=4, memory_bytes=8)
+        daemon.expiry = UploadExpiry(
+            daemon.table, daemon.objects, clock=lambda: self.wall
+        )
+        return daemon
+
+    @initialize()
+    def open_first(self):
+        """Open one of the uploads before the faults begin."""
+        self.loop.run_until_complete(self._open(self.daemons[0], "k1"))
+
+    @rule(index=DAEMONS, key=KEYS)
+    def open(self, index, key):
+        """Open an upload."""
+        daemon = self.daemons[index]
+        self.spawn(daemon, self._open(daemon, key))
+
+    @rule(
+        index=DAEMONS,
+        key=KEYS,
+        ahead=st.sampled_from([0, 0, -3, 2]),
+        size=st.integers(1, 24),
+        chunk=st.integers(1, 9),
+        fault=FAULTS,
+    )
+    def append(self, index, key, ahead, size, chunk, fault):
+        """Send a part near the acknowledged offset."""
+        daemon = self.daemons[index]
+        offset = max(0, self.acknowledged[key] + ahead)
+        self.add_fault(daemon, fault)
+        data = BODIES[key][offset : offset + size]
+
+        async def append():
+            chunks = chunks_of(data, chunk)
+            result = await daemon.receiver.append(
+                SERVICE, key, offset, chunks, in_time()
+            )
+            self._note(key, result)
+
+        self.spawn(daemon, append())
+
+    @rule(key=KEYS, fault=FAULTS)
+    def append_everywhere(self, key, fault):
+        """Send the next bytes to one daemon and again through the others."""
+        for index in range(3):
+            size = 4 * (index + 1)
+            self.append(index, key, 0, size, 5, "" if index else fault)
+
+    @rule(index=DAEMONS, key=KEYS, chunk=st.integers(1, 9), fault=FAULTS)
+    def upload(self, index, key, chunk, fault):
+        """Open, send the rest, verify and complete, as a caller does that resumes."""
+        daemon = self.daemons[index]
+        self.add_fault(daemon, fault)
+        self.spawn(daemon, self._upload(daemon, key, chunk))
+
+    @rule(index=DAEMONS, key=KEYS)
+    def verify(self, index, key):
+        """Check the digest."""
+        daemon = self.daemons[index]
+        self.spawn(daemon, self._verify(daemon, key))
+
+    @rule(index=DAEMONS, key=KEYS)
+    def complete(self, index, key):
+        """Start the operation and give the body to the upstream."""
+        daemon = self.daemons[index]
+        self.spawn(daemon, self._complete(daemon, key))
+
+    @rule(index=DAEMONS, key=KEYS, sure=SELDOM)
+    def cancel(self, index, key, sure):
+        """Cancel an upload."""
+        if not sure:
+            return
+        daemon = self.daemons[index]
+
+        async def cancel():
+            result = await daemon.ledger.cancel(SERVICE, key, in_time())
+            self._note(key, result)
+
+        self.spawn(daemon, cancel())
+
+    @rule(index=DAEMONS, jump=st.booleans())
+    def sweep(self, index, jump):
+        """Delete what has expired, perhaps after the clock jumped forward."""
+        daemon = self.daemons[index]
+        self.wall = 1e11 if jump else 0.0
+
+        async def sweep():
+            with suppress(OutcomeUnknown):
+                await daemon.expiry.sweep(SERVICE)
+
+        self.spawn(daemon, sweep())
+
+    @rule()
+    def pass_an_hour(self):
+        """Let uploads become quiet."""
+        self.run_for(QUIET_S * 0.6)
+
+    def _check_expiry(self, put):
+        if not isinstance(put.item.get("upload_id"), str) or "state" not in put.item:
+            return
+        key = put.key.sort
+        now = self.loop.time()
+        if put.item["state"] == State.CLAIMED:
+            self.progress_at[key] = now
+        elif put.item.get("note") == EXPIRED and now - self.progress_at[key] < QUIET_S:
+            quiet = now - self.progress_at[key]
+            self.violation(f"{key} expired {quiet} s after a part")
+
+    def _note(self, key, result):
+        self.oracle.told(key, result)
+        match result:
+            case Appended(offset) | Receiving(offset) | OffsetMismatch(offset):
+                self.acknowledged[key] = max(self.acknowledged[key], offset)
+            case Verified(sha256) if sha256 != sha256_of(BODIES[key]):
+                self.violation(f"{key} was verified with {sha256}")
+            case DigestMismatch():
+                self.violation(f"{key} has another digest: {result}")
+
+    async def _open(self, daemon, key):
+        body = BODIES[key]
+        result = await daemon.receiver.open(
+            SERVICE, key, len(body), key, in_time(), sha256_of(body)
+        )
+        self._note(key, result)
+        return result
+
+    async def _verify(self, daemon, key):
+        result = await daemon.receiver.verify(SERVICE, key, in_time())
+        self._note(key, result)
+        return result
+
+    async def _upload(self, daemon, key, chunk):
+        for _ in range(TRIES):
+            result = await self._open(daemon, key)
+            if isinstance(result, Receiving):
+                await self._append_rest(daemon, key, result.offset, chunk)
+                if isinstance(await self._verify(daemon, key), Verified):
+                    await self._complete(daemon, key)
+            elif not isinstance(result, StoreUnavailable):
+                return
+            await asyncio.sleep(1)
+
+    async def _append_rest(self, daemon, key, offset, chunk):
+        chunks = chunks_of(BODIES[key][offset:], chunk)
+        result = await daemon.receiver.append(SERVICE, key, offset, chunks, in_time())
+        self._note(key, result)
+
+    async def _complete(self, daemon, key):
+        result = await daemon.receiver.start(SERVICE, key, daemon.name, in_time())
+        self._note(key, result)
+        if not isinstance(result, Started):
+            return
+        body = b""
+        try:
+            async for chunk in daemon.receiver.body(result):
+                body += chunk
+        except (ObjectsUnavailable, TableUnavailable):
+            await daemon.ledger.fail_not_run(result, in_time())
+            return
+        self.oracle.run(key, daemon.name)
+        if body != BODIES[key]:
+            self.violation(f"{key} ran with the body {body!r}")
+        await daemon.ledger.finish(result, answer_of(key), in_time())
+
+    def check_recovered(self):
+        """Check that every acknowledged byte of an open upload can be read."""
+        host = Host("check")
+        records = RecordTable(self.table.client(host))
+        parts = PartStore(self.table.client(host), self.objects.client(host))
+        for key, body in BODIES.items():
+            record = self.loop.run_until_complete(records.get(SERVICE, key))
+            if record is None or record.state not in (State.CLAIMED, State.STARTED):
+                continue
+            upload = record.upload
+            if upload.offset < self.acknowledged[key]:
+                self.violation(f"{key} fell back to offset {upload.offset}")
+            self.loop.run_until_complete(self._check_body(parts, upload, body))
+
+    async def _check_body(self, parts, upload, body):
+        stored = b""
+        try:
+            async for chunk in parts.stream(upload.upload_id, upload.offset):
+                stored += chunk
+        except MissingPart as exc:
+            self.violation(str(exc))
+            return
+        if stored != body[: upload.offset]:
+            self.violation(f"stored {stored!r} instead of {body[: upload.offset]!r}")
--- a/goldcresthoist/operations/uploads.py
+++ b/goldcresthoist/operations/uploads.py
@@ -32,7 +32,7 @@
 
 __all__ = ["UploadReceiver"]
 
-TOTAL_BYTES = 64 * 1024 * 1024
+TOTAL_BYTES = 32 * 1024 * 1024
 
 
 class UploadReceiver:
--- /dev/null
+++ b/tools/fuzz.py
@@ -0,0 +1,81 @@
+"""Runs the state machines of the tests with a fresh seed, for longer.
+
+``python tools/fuzz.py [--seconds N] [--seed N] [--steps N] [NAME ...]`` runs the
+machines whose name contains one of the names, or all, in turn until the time is
+over. A round that failed is repeated with the same ``--seed`` and name; it ends at
+the first failure, shrunk, with exit status 1.
+"""
+
+import argparse
+import importlib
+import secrets
+import sys
+import time
+from pathlib import Path
+
+from hypothesis import HealthCheck, seed, settings
+from hypothesis.stateful import run_state_machine_as_test
+
+ROOT = Path(__file__).resolve().parent.parent
+MACHINES = (
+    "goldcresthoist.config.tests.machines:ConfigurationMachine",
+    "goldcresthoist.operations.tests.machines:LedgerMachine",
+    "goldcresthoist.operations.tests.machines:UploadMachine",
+)
+EXAMPLES_PER_ROUND = 200
+
+
+def load(names):
+    """Return the machines whose path contains one of the names, or all."""
+    chosen = [path for path in MACHINES if not names or any(n in path for n in names)]
+    if not chosen:
+        raise SystemExit(f"no machine matches {names}, known are {MACHINES}")
+    found = []
+    for path in chosen:
+        module, _, name = path.partition(":")
+        found.append(getattr(importlib.import_module(module), name))
+    return found
+
+
+def run_round(machine, number, steps):
+    """Run one round of a machine with a seed; raises the failure found."""
+    seeded = seed(number)(type(machine.__name__, (machine,), {}))
+    chosen = settings(
+        max_examples=EXAMPLES_PER_ROUND,
+        stateful_step_count=steps,
+        deadline=None,
+        database=None,
+        report_multiple_bugs=False,
+        suppress_health_check=list(HealthCheck),
+    )
+    run_state_machine_as_test(seeded, settings=chosen)
+
+
+def main():
+    """Run rounds until the time is over; return the exit status."""
+    parser = argparse.ArgumentParser(description=__doc__.partition("\n")[0])
+    parser.add_argument("names", nargs="*", metavar="NAME")
+    parser.add_argument("--seconds", type=float, default=120)
+    parser.add_argument("--seed", type=int, default=secrets.randbits(32))
+    parser.add_argument("--steps", type=int, default=60)
+    arguments = parser.parse_args()
+    sys.path.insert(0, str(ROOT))
+    machines = load(arguments.names)
+    end = time.monotonic() + arguments.seconds
+    number = arguments.seed
+    print(f"seed {number}", flush=True)
+    rounds = 0
+    while True:
+        for machine in machines:
+            print(f"{machine.__name__} --seed {number}", flush=True)
+            run_round(machine, number, arguments.steps)
+            rounds += 1
+            if time.monotonic() >= end:
+                examples = rounds * EXAMPLES_PER_ROUND
+                print(f"{rounds} rounds, about {examples} examples, no failure")
+                return 0
+        number += 1
+
+
+if __name__ == "__main__":
+    sys.exit(main())
