--- a/goldcresthoist/config/__init__.py
+++ b/goldcresthoist/config/__init__.py
@@ -1,5 +1,6 @@
 """Settings, questionnaire and generated configuration."""
 
+from goldcresthoist.config.differences import differences
 from goldcresthoist.config.errors import (
     ConfigError,
     ConfigurationConflict,
@@ -7,6 +8,13 @@
     InvalidSetting,
 )
 from goldcresthoist.config.generation import generate
+from goldcresthoist.config.holder import (
+    ConfigurationHolder,
+    InForce,
+    InvalidContent,
+    content_digest,
+    decode_content,
+)
 from goldcresthoist.config.model import (
     AtMostOnce,
     Read,
@@ -23,7 +31,10 @@
     "AtMostOnce",
     "ConfigError",
     "ConfigurationConflict",
+    "ConfigurationHolder",
+    "InForce",
     "InvalidAnswer",
+    "InvalidContent",
     "InvalidSetting",
     "Questionnaire",
     "Read",
@@ -33,6 +44,9 @@
     "TeamConfiguration",
     "Upload",
     "WorkRule",
+    "differences",
     "generate",
+    "content_digest",
+    "decode_content",
     "split_address",
 ]
--- a/goldcresthoist/config/tests/builders.py
+++ b/goldcresthoist/config/tests/builders.py
@@ -1,29 +1,21 @@
-"""Builders for tests of the configuration."""
+"""Builders of configuration for tests."""
 
 import msgspec
 
-from goldcresthoist.config.model import ServiceConfiguration, TeamConfiguration
+from goldcresthoist.config import (
+    Read,
+    ServiceConfiguration,
+    TeamConfiguration,
+    WorkRule,
+)
 
-__all__ = ["make_content"]
 
-
-def make_content(team, *services, domain="domain-1"):
-    """Return an encoded configuration with these services."""
-    configuration = TeamConfiguration(
-        team, tuple(make_service(name) for name in services), (domain,)
-    )
-    return msgspec.json.encode(configuration)
-
-
-def make_service(name):
-    """Return the configuration of one service without work."""
-    return ServiceConfiguration(
-        name=name,
-        slots=12,
-        short_slots=4,
-        queue_limit=48,
-        retry_share=0.08,
-        hedge_share=0.05,
-        measuring_share=0.01,
-        work=(),
+def make_content(team, slots=12, services=None):
+    """Return stored bytes of a team's configuration."""
+    names = services or (f"{team}-read", f"{team}-write")
+    work = (WorkRule("get", "GET", "/", Read(), 0.01, 1.0, 1.0),)
+    items = tuple(
+        ServiceConfiguration(name, slots, 0, 48, 0.05, 0.03, 0.01, work)
+        for name in names
     )
+    return msgspec.msgpack.encode(TeamConfiguration(team, items))
--- a/goldcresthoist/config/tests/machines.py
+++ b/goldcresthoist/config/tests/machines.py
@@ -9,14 +9,14 @@
 from goldcresthoist.config import ConfigurationConflict
 from goldcresthoist.config.errors import ConfigurationUnavailable, ServiceTaken
 from goldcresthoist.config.store import ConfigurationStore, service_names
-from goldcresthoist.config.tests.builders import make_content
+from goldcresthoist.config.tests.store_builders import make_content
 from goldcresthoist.config.versions import (
     Accepted,
     NotAccepted,
     OutcomeNotKnown,
     current_key,
 )
-from goldcresthoist.tests.fakes import Host
+from goldcresthoist.tests.fake_platform import Host
 from goldcresthoist.tests.machine_base import DAEMONS, FAULTS, PlatformMachine
 
 __all__ = ["ConfigurationMachine"]
--- a/goldcresthoist/config/tests/test_machines.py
+++ b/goldcresthoist/config/tests/test_machines.py
@@ -8,7 +8,7 @@
 from goldcresthoist.config import store
 from goldcresthoist.config.tests.machines import ConfigurationMachine
 from goldcresthoist.table import Seen, decided
-from goldcresthoist.tests.fakes import FakeTable
+from goldcresthoist.tests.fake_platform import FakeTable
 from goldcresthoist.tests.machine_base import finds_violation, fixed_settings
 
 EXAMPLES = 150
--- /dev/null
+++ b/goldcresthoist/daemon/routing.py
@@ -0,0 +1,158 @@
+"""Routing of callers' requests to upstreams."""
+
+import asyncio
+import itertools
+import os
+from time import monotonic
+
+from goldcresthoist.callers import CallerError, Refusal
+from goldcresthoist.config.model import Upload
+from goldcresthoist.daemon.call_head import find_rule, split_target
+from goldcresthoist.daemon.kinds import KEYED
+from goldcresthoist.daemon.routed_call import RoutedCall
+from goldcresthoist.daemon.routes import ServiceRoute
+
+__all__ = ["CallRouter"]
+
+RESERVED_PART = "/-/"
+_STATUS_CLASSES = {2: "2xx", 3: "3xx", 4: "4xx", 5: "5xx"}
+
+
+class CallRouter:
+    """Handles requests of callers.
+
+    Parameters
+    ----------
+    member : Member
+        The own daemon.
+    directory
+        Has ``members_of(service) -> list[Member]``.
+    configurations
+        Has ``service(name) -> ServiceConfiguration | None``.
+    chooser : Chooser
+        Chooses upstreams and keeps what is known of them.
+    make_budget : callable
+        ``make_budget(configuration)`` returns a `RetryBudget`.
+    links : LinkPool
+        Links to other daemons.
+    server : CallServer
+        Runs calls at the own upstream.
+    counters
+        Has ``add(name, amount=1, **labels)`` and ``observe(name, seconds, **labels)``.
+    operation_paths : OperationPaths, optional
+        Answers the paths below ``/<service>/-/``.
+    """
+
+    def __init__(
+        self,
+        member,
+        directory,
+        configurations,
+        chooser,
+        make_budget,
+        links,
+        server,
+        counters,
+        operation_paths=None,
+    ):
+        self.instance = member.instance
+        self.failure_domain = member.failure_domain
+        self.region = member.region
+        self.directory = directory
+        self.configurations = configurations
+        self.chooser = chooser
+        self.make_budget = make_budget
+        self.links = links
+        self.server = server
+        self.counters = counters
+        self.operation_paths = operation_paths
+        # Set by the daemon, since it needs this router.
+        self.uploads = None
+        self.routes = {}
+        self.ready = True
+        self.loop = asyncio.get_running_loop()
+        self.request_prefix = f"{self.instance}-{os.urandom(4).hex()}-".encode()
+        self.request_numbers = itertools.count(1)
+
+    async def handle(self, request, exchange):
+        """Answer one request of a caller."""
+        try:
+            if RESERVED_PART in request.target and self.operation_paths is not None:
+                if await self._answer_operation_path(request, exchange):
+                    return
+            call = self._prepare(request, exchange)
+            if call is None:
+                return
+            if self.uploads is not None and isinstance(call.rule.kind, Upload):
+                await self.uploads.handle(call)
+                return
+            if not request.body.exhausted:
+                await call.read_prefix()
+            await call.run()
+            self._count(call)
+        except TimeoutError:
+            call.on_deadline()
+            self._count(call)
+        except CallerError as exc:
+            if exchange.started:
+                exchange.abort()
+            else:
+                exchange.keep_alive = False
+                self.refuse(exchange, exc.code, str(exc))
+
+    def refuse(self, exchange, code, message, retry_after_ms=0):
+        """Answer a request that did not run."""
+        self.answer(exchange, Refusal(code, message, retry_after_ms=retry_after_ms))
+
+    def answer(self, exchange, refusal):
+        """Answer with a refusal and count it."""
+        self.counters.add("refusals", code=refusal.code)
+        exchange.answer(refusal)
+
+    def new_request_id(self):
+        """Return an identifier that is unique over all daemons."""
+        return self.request_prefix + b"%x" % next(self.request_numbers)
+
+    async def _answer_operation_path(self, request, exchange):
+        """Answer a path below ``/<service>/-/``; return whether it was one."""
+        service, target = split_target(request.target)
+        if not target.startswith(RESERVED_PART) or not self.ready:
+            return False
+        if self.configurations.service(service) is None:
+            return False
+        await self.operation_paths.handle(self, service, target, request, exchange)
+        return True
+
+    def _count(self, call):
+        rule = call.rule
+        self.counters.add(
+            "calls",
+            service=call.route.name,
+            work=rule.name,
+            status=_STATUS_CLASSES.get(call.exchange.status // 100, "other"),
+        )
+        self.counters.observe(
+            "call_seconds", monotonic() - call.started_at, work=rule.name
+        )
+
+    def _prepare(self, request, exchange):
+        """Return the call for a request, or None when the request is refused."""
+        service, target = split_target(request.target)
+        if not self.ready:
+            message = "the daemon has no configuration yet"
+            return self.refuse(exchange, "not-ready", message, 1000)
+        configuration = self.configurations.service(service)
+        if configuration is None:
+            return self.refuse(exchange, "unknown-service", f"no service {service!r}")
+        rule = find_rule(configuration, request.method, target)
+        if rule is None:
+            message = f"no work of {service} for {request.method} {target}"
+            return self.refuse(exchange, "unknown-work", message)
+        if not request.key and isinstance(rule.kind, KEYED):
+            message = f"work {rule.name} needs an Idempotency-Key header"
+            return self.refuse(exchange, "key-required", message)
+        route = self.routes.get(service)
+        if route is None:
+            route = self.routes[service] = ServiceRoute(service, self)
+        route.apply(configuration)
+        return RoutedCall(self, route, rule, request, exchange, target)
--- a/goldcresthoist/operations/tests/ledger_machine.py
+++ b/goldcresthoist/operations/tests/ledger_machine.py
@@ -15,7 +15,7 @@
     in_time,
 )
 from goldcresthoist.operations.tests.oracle import KEYS, SERVICE, RunOracle, answer_of
-from goldcresthoist.tests.fakes import Host
+from goldcresthoist.tests.fake_platform import Host
 from goldcresthoist.tests.machine_base import DAEMONS, FAULTS, SELDOM, PlatformMachine
 
 __all__ = ["LedgerMachine"]
--- a/goldcresthoist/operations/tests/test_machines.py
+++ b/goldcresthoist/operations/tests/test_machines.py
@@ -11,7 +11,7 @@
 from goldcresthoist.operations.tests.ledger_machine import LedgerMachine
 from goldcresthoist.operations.tests.upload_machine import UploadMachine
 from goldcresthoist.table import Seen, decided
-from goldcresthoist.tests.fakes import FakeTable
+from goldcresthoist.tests.fake_platform import FakeTable
 from goldcresthoist.tests.machine_base import finds_violation, fixed_settings
 
 EXAMPLES = 150
--- a/goldcresthoist/telemetry/_catalogue.py
+++ b/goldcresthoist/telemetry/_catalogue.py
@@ -20,6 +20,8 @@
     "operation-cancelled",
     "upload-offset",
     "upload-digest",
+    "unknown-operation",
+    "answer-not-kept",
 )
 
 RETRY_REASONS = (
@@ -30,6 +32,9 @@
     "crashed",
     "link-closed",
     "connect-failed",
+    "failed-status",
+    "no-upstream",
+    "timed-out",
 )
 
 # Label values that a counter may have; any other value is counted as "other".
@@ -48,14 +53,16 @@
     "links_opened": "Connections to and from other daemons that were authenticated.",
     "links_closed": "Connections to other daemons that ended, by reason.",
     "links_rejected": "Connections that failed the handshake, by reason.",
-    "datagrams_dropped": "Gossip datagrams dropped, by reason.",
+    "link_connects_failed": "Connections to other daemons that could not be made.",
+    "answers_cut": "Answers cut off because the upstream's answer did not end.",
+    "caller_connections_timed_out": "Connections of callers closed for being idle.",
+    "datagrams_dropped": "Gossip datagrams that were forged, corrupt or replayed.",
     "gossip_bytes": "Bytes of gossip, by direction.",
-    "upstreams_ejected": "Upstreams ejected after consecutive failures, by service.",
+    "upstreams_ejected": "Upstreams that are ejected after consecutive failures.",
     "upstream_crashes": "Crashes of the own upstream during a call.",
     "crash_suspects": "Requests marked as crash suspects.",
-    "store_errors": "Failed calls to the table or the object store, by store and kind.",
-    "configuration_versions": "Configurations put in force, by team.",
-    "configuration_rejected": "Configurations not put in force, by reason.",
+    "store_up": "1 while a store answers, 0 while calls to it are refused at once.",
+    "configuration_versions": "Configuration versions put in force.",
     "operations_started": "At-most-once operations started, by service.",
     "operations_unknown": "Operations whose result is not known, by service.",
     "upload_bytes": "Bytes of uploads accepted, by service.",
--- a/goldcresthoist/tests/machine_base.py
+++ b/goldcresthoist/tests/machine_base.py
@@ -15,7 +15,7 @@
 
 from goldcresthoist.objects import ObjectsUnavailable
 from goldcresthoist.table import TableUnavailable
-from goldcresthoist.tests.fakes import FakeObjects, FakeTable, VirtualTimeLoop
+from goldcresthoist.tests.fake_platform import FakeObjects, FakeTable, VirtualTimeLoop
 
 __all__ = [
     "DAEMONS",
