bench: count servable work by time, and calls as callers see them

Change: servable weight is computed in steps of 0.1 s; a caller passes over a daemon that refuses connections; late answers are counted as late; ports lie below the range of outgoing connections; lookups take 160 ms and 120 ms.

--- a/goldcresthoist/bench/cluster.py
+++ b/goldcresthoist/bench/cluster.py
@@ -1,6 +1,8 @@
 """The daemons and upstreams of one site as processes."""
 
 import json
+import random
+import socket
 import subprocess
 import sys
 import urllib.request
@@ -12,12 +14,16 @@
 from goldcresthoist.bench.node import NodeReport
 from goldcresthoist.bench.sites import DOMAINS
 from goldcresthoist.tests.pathnode import NodePlan
-from goldcresthoist.tests.processes import free_port, make_member, make_plan
+from goldcresthoist.tests.processes import make_member, make_plan
 
 __all__ = ["Cluster", "Target"]
 
 ROOT = Path(__file__).resolve().parent.parent.parent
 STOP_TIMEOUT_S = 5.0
+FIRST_PORT = 11000
+LAST_PORT = 19999
+
+_ports = iter(range(random.randint(FIRST_PORT, FIRST_PORT + 5000), LAST_PORT + 1))
 
 
 @dataclass(slots=True)
@@ -51,11 +57,16 @@
             for name in (service.configuration.name,)
         ]
         configurations = [service.configuration for service in site.services]
+        members = [
+            msgspec.structs.replace(member, link_address=f"127.0.0.1:{_stable_port()}")
+            for member in members
+        ]
         self.targets = []
         for member in members:
-            port = free_port()
+            port = _stable_port()
             plan = make_plan(member, port, members, configurations)
-            plan = msgspec.structs.replace(plan, policy=policy)
+            address = f"127.0.0.1:{_stable_port()}"
+            plan = msgspec.structs.replace(plan, policy=policy, caller_address=address)
             self.targets.append(Target(plan, port))
 
     def __enter__(self):
@@ -125,6 +136,21 @@
         return sum(answer["counts"].get("started", 0) for answer in answers)
 
 
+def _stable_port():
+    """Return a free port that no outgoing connection is given by the system.
+
+    An instance that is started again must find its ports free.
+    """
+    for port in _ports:
+        with socket.socket() as sock:
+            try:
+                sock.bind(("127.0.0.1", port))
+            except OSError:
+                continue
+            return port
+    raise RuntimeError(f"no free port from {FIRST_PORT} to {LAST_PORT}")
+
+
 def _spawn(module, *arguments):
     return subprocess.Popen(
         [sys.executable, "-m", f"goldcresthoist.bench.{module}", *arguments],
--- a/goldcresthoist/bench/figures.py
+++ b/goldcresthoist/bench/figures.py
@@ -93,27 +93,43 @@
         return answered / offered if offered else 0.0
 
     def service_of_servable(self):
-        """Return the weight answered as a share of what the slots could serve."""
+        """Return the weight answered as a share of what the slots could serve.
+
+        Only answers that were complete when the last call arrived count, since the
+        slots that become free afterwards are not counted either.
+        """
         answered = servable = 0.0
         for service in self.site.services:
             name = service.configuration.name
             calls = [r for r in self.results if r.arrival.service == name]
-            weights = [r.arrival.rule.weight for r in calls]
-            busy_s = sum(r.arrival.service_ms for r in calls) / 1000.0
-            # Work that arrived runs on until its deadline, after the last arrival.
-            slots_s = service.targets * service.configuration.slots
-            slots_s *= self.phase.duration_s + _mean_deadline_s(calls)
-            servable += sum(weights) * min(1.0, slots_s / max(busy_s, 1e-9))
-            answered += sum(r.arrival.rule.weight for r in calls if r.outcome == OK)
+            servable += self._servable_weight(service, calls)
+            answered += sum(r.arrival.rule.weight for r in calls if self._in_time(r))
         return answered / servable if servable else 0.0
 
+    def _servable_weight(self, service, calls):
+        """Return the weight that slots without any idle time could answer."""
+        step_s = 0.1
+        steps = round(self.phase.duration_s / step_s)
+        slots = service.targets * service.configuration.slots
+        work_s = [0.0] * steps
+        for result in calls:
+            step = min(steps - 1, int(result.arrival.at_s / step_s))
+            work_s[step] += result.arrival.service_ms / 1000.0
+        waiting_s = served_s = 0.0
+        for added_s in work_s:
+            waiting_s += added_s
+            served_s += min(waiting_s, slots * step_s)
+            waiting_s -= min(waiting_s, slots * step_s)
+        weight = sum(result.arrival.rule.weight for result in calls)
+        return weight * served_s / max(sum(work_s), 1e-9)
+
+    def _in_time(self, result):
+        ended_s = result.arrival.at_s + result.latency_s
+        return result.outcome == OK and ended_s <= self.phase.duration_s
+
     def answers_per_s(self):
         """Return the correct answers a second while calls arrived."""
-        in_time = sum(
-            result.outcome == OK
-            and result.arrival.at_s + result.latency_s <= self.phase.duration_s
-            for result in self.results
-        )
+        in_time = sum(self._in_time(result) for result in self.results)
         return in_time / self.phase.duration_s
 
     def failing_share(self, failing_calls):
@@ -162,11 +178,5 @@
     return any(is_long(rule) for rule in service.work)
 
 
-def _mean_deadline_s(calls):
-    if not calls:
-        return 0.0
-    return sum(r.arrival.rule.longest_s for r in calls) / len(calls)
-
-
 def _rounded(value):
     return None if value is None else round(value, 4)
--- a/goldcresthoist/bench/load.py
+++ b/goldcresthoist/bench/load.py
@@ -15,6 +15,9 @@
 
 # The daemon answers at the deadline; this much later the caller gives up.
 GRACE_S = 1.0
+CONNECT_ATTEMPTS = 5
+# An answer this long after the caller's deadline no longer counts.
+LATE_S = 0.05
 SERVICE_SPREAD = (0.5, 1.5)
 
 
@@ -155,12 +158,13 @@
         if outcome == "200":
             outcome = "ok" if body.strip() == target.encode() else "wrong-answer"
         latency_s = time.perf_counter() - intended
+        if outcome == "ok" and latency_s > arrival.rule.longest_s + LATE_S:
+            outcome = "late"
         self.results.append(Result(arrival, outcome, latency_s))
 
     async def _send(self, arrival, target):
-        port = self.random.choice(self.ports)
         try:
-            connection = await self._connection(port)
+            port, connection = await self._connect_to_any()
         except OSError:
             return "lost", b""
         request = _request(arrival, target)
@@ -169,6 +173,15 @@
             self.idle[port].append(connection)
         return answer
 
+    async def _connect_to_any(self):
+        """Return a port and a connection; a daemon that is down is passed over."""
+        for port in self.random.sample(self.ports, CONNECT_ATTEMPTS):
+            try:
+                return port, await self._connection(port)
+            except OSError:
+                continue
+        raise ConnectionRefusedError(f"{CONNECT_ATTEMPTS} daemons cannot be reached")
+
     async def _connection(self, port):
         idle = self.idle[port]
         while idle:
--- a/goldcresthoist/bench/node.py
+++ b/goldcresthoist/bench/node.py
@@ -14,12 +14,24 @@
 from goldcresthoist.balance import Admission, Chooser, policy_named
 from goldcresthoist.daemon.collector import tune_collector
 from goldcresthoist.links import connection
-from goldcresthoist.links.frames import Failed, Head, Ping, Pong, Refuse, encode_frame
+from goldcresthoist.links.frames import Failed, Head, Pong, Refuse, encode_frame
 from goldcresthoist.tests.pathnode import NodePlan, PathNode
 
 __all__ = ["NodeReport"]
 
 
+def _clock_cost_s():
+    """Return what reading the clock twice adds to a measured time."""
+    start = time.thread_time()
+    for _ in range(CLOCK_READS):
+        time.thread_time()
+    return (time.thread_time() - start) / CLOCK_READS
+
+
+CLOCK_READS = 10_000
+CLOCK_COST_S = _clock_cost_s()
+
+
 class NodeReport(msgspec.Struct):
     """Running totals of one node. Times are processor seconds."""
 
@@ -33,6 +45,11 @@
     hedges: int = 0
     refused: int = 0
 
+    def add_measuring(self, start_s, factor=1.0):
+        """Add processor time since ``start_s``, multiplied by ``factor``."""
+        spent_s = time.thread_time() - start_s - CLOCK_COST_S
+        self.measuring_cpu_s += factor * max(0.0, spent_s)
+
 
 class MeasuredChooser(Chooser):
     """Counts the time spent on load reports, and can delay them."""
@@ -48,9 +65,9 @@
         if self.delay_s:
             self.loop.call_later(self.delay_s, self._record_late, view, load)
             return
-        start = time.perf_counter()
+        start = time.thread_time()
         super().record_load(view, load, now)
-        self.totals.measuring_cpu_s += time.perf_counter() - start
+        self.totals.add_measuring(start)
 
     def _record_late(self, view, load):
         # Nothing tells the daemon that the report is old.
@@ -66,9 +83,9 @@
 
     def report(self):
         """Return the load that answers carry to other daemons."""
-        start = time.perf_counter()
+        start = time.thread_time()
         report = super().report()
-        self.totals.measuring_cpu_s += time.perf_counter() - start
+        self.totals.add_measuring(start)
         return report
 
 
@@ -83,13 +100,12 @@
         """Encode a frame and count it."""
         data = encode_frame(message)
         self.totals.link_bytes += len(data)
-        if isinstance(message, (Ping, Pong)):
-            self.totals.measuring_bytes += len(data)
-        elif isinstance(message, (Head, Refuse, Failed)):
-            start = time.perf_counter()
+        # Pings detect failures of links; only the load in their answers is measuring.
+        if isinstance(message, (Head, Refuse, Failed, Pong)):
+            start = time.thread_time()
             self.totals.measuring_bytes += len(self.encoder.encode(message.load))
             # The peer decodes what this daemon encodes, at about the same cost.
-            self.totals.measuring_cpu_s += 2.0 * (time.perf_counter() - start)
+            self.totals.add_measuring(start, 2.0)
         return data
 
 
--- a/goldcresthoist/bench/sites.py
+++ b/goldcresthoist/bench/sites.py
@@ -1,6 +1,6 @@
 """The two sites as the benchmark runs them.
 
-Service times are about twenty times those of the example questionnaires, so that the
+Service times are ten to forty times those of the example questionnaires, so that the
 load generator, 13 daemons and 13 upstreams fit on 10 cores at three times capacity.
 """
 
@@ -119,8 +119,8 @@
             6,
             260,
             0,
-            (("account", "GET", "/accounts", Read(), 80, 3.0), 0.7),
-            (("price", "GET", "/prices", Read(), 60, 2.0), 0.3),
+            (("account", "GET", "/accounts", Read(), 160, 3.0), 0.7),
+            (("price", "GET", "/prices", Read(), 120, 2.0), 0.3),
         ),
         _service(
             "settle",
