--- a/goldcresthoist/bench/figures.py
+++ b/goldcresthoist/bench/figures.py
@@ -170,6 +170,8 @@
         "hedge_share": round(totals["hedges"] / calls, 4),
         "measuring_cpu_share": round(cpu_share, 5),
         "measuring_byte_share": round(byte_share, 5),
+        "measured_times": totals["measured_times"],
+        "measuring_cpu_s": round(totals["measuring_cpu_s"], 3),
         "node_cpu_s": round(totals["cpu_s"], 2),
     }
 
--- a/goldcresthoist/bench/node.py
+++ b/goldcresthoist/bench/node.py
@@ -38,6 +38,7 @@
     instance: str = ""
     cpu_s: float = 0.0
     measuring_cpu_s: float = 0.0
+    measured_times: int = 0
     link_bytes: int = 0
     measuring_bytes: int = 0
     calls: int = 0
@@ -47,6 +48,7 @@
 
     def add_measuring(self, start_s, factor=1.0):
         """Add processor time since ``start_s``, multiplied by ``factor``."""
+        self.measured_times += 1
         spent_s = time.thread_time() - start_s - CLOCK_COST_S
         self.measuring_cpu_s += factor * max(0.0, spent_s)
 
