--- a/goldcresthoist/daemon/routed_call.py
+++ b/goldcresthoist/daemon/routed_call.py
@@ -7,19 +7,28 @@
 from goldcresthoist.callers import Refusal
 from goldcresthoist.config.model import Read
 from goldcresthoist.daemon.answers import (
+    REFUSED_CRASHES,
     RETRIABLE_CODES,
     refusal_after_failure,
     refusal_from_frame,
 )
 from goldcresthoist.daemon.attempt import Attempt
+from goldcresthoist.daemon.call_head import fingerprint
+from goldcresthoist.daemon.crash_report import report_crash
 from goldcresthoist.daemon.kinds import REPEATABLE
-from goldcresthoist.links import CallFailed, LinkClosed, LinkError
+from goldcresthoist.daemon.relay import relay_answer
+from goldcresthoist.links import LinkClosed
 from goldcresthoist.links.frames import Failed, FailureKind, Head, Refuse
 
 __all__ = ["RoutedCall"]
 
+PREFIX_BYTES = 64 * 1024
 LINK_WAIT_S = 1.0
-SUSPECT_ACK_S = 0.2
+# A successor of the last upstream is known everywhere well within this time.
+UPSTREAM_WAIT_S = 3.0
+UPSTREAM_POLL_S = 0.05
+# The calls that wait must not take the memory of the daemon.
+MAX_WAITING_CALLS = 500
 # Statuses of an upstream that fails rather than answers.
 FAILED_STATUSES = frozenset((500, 502, 503, 504))
 
@@ -45,23 +54,26 @@
         "router",
         "rule",
         "started",
+        "started_at",
         "target",
     )
 
-    def __init__(self, router, route, rule, request, exchange, deadline):
+    def __init__(self, router, route, rule, request, exchange, target):
         self.router = router
         self.route = route
         self.rule = rule
         self.request = request
         self.exchange = exchange
-        self.deadline = deadline
+        self.started_at = now = monotonic()
+        self.deadline = now + (request.deadline_s or rule.longest_s)
         self.loop = router.loop
-        self.target = ""
-        self.headers = ()
-        self.key = ""
-        self.fingerprint = b""
+        self.target = target
+        request_id = request.request_id or router.new_request_id()
+        self.headers = (*request.headers, (b"goldcrest-request-id", request_id))
+        self.key = request.key
         self.prefix = b""
-        self.body_complete = False
+        self.body_complete = request.body.exhausted
+        self.fingerprint = self._fingerprint()
         self.body_started = False
         self.crash_count = 0
         self.exclude = ()
@@ -69,6 +81,15 @@
         # Whether an upstream may have run the request.
         self.started = False
 
+    async def read_prefix(self):
+        """Take the first bytes of the body, which are kept for retries."""
+        self.exchange.allow_body()
+        body = self.request.body
+        async with asyncio.timeout_at(self.deadline):
+            self.prefix = await body.read_up_to(PREFIX_BYTES)
+        self.body_complete = body.exhausted
+        self.fingerprint = self._fingerprint()
+
     async def run(self):
         """Answer the request."""
         self.route.budget.record_call()
@@ -102,6 +123,16 @@
             refusal = Refusal("deadline-exceeded", message)
         self.router.answer(self.exchange, refusal)
 
+    def _fingerprint(self):
+        request = self.request
+        return fingerprint(
+            self.route.name,
+            request.method,
+            self.target,
+            request.content_length,
+            self.prefix,
+        )
+
     async def _first_attempt(self):
         attempt = self._open_attempt()
         while attempt is None:
@@ -109,9 +140,28 @@
             if not await self.route.wait_for_link(wait_s):
                 break
             attempt = self._open_attempt()
+        return attempt or await self._late_attempt()
+
+    async def _late_attempt(self):
+        """Wait for an upstream, as when the last one drains and its successor starts.
+
+        Returns None when there is none in time, or too many calls wait already.
+        """
+        route = self.route
+        if route.waiting_calls >= MAX_WAITING_CALLS:
+            return None
+        until = min(self.deadline, monotonic() + UPSTREAM_WAIT_S)
+        attempt = None
+        route.waiting_calls += 1
+        try:
+            while attempt is None and monotonic() < until:
+                await asyncio.sleep(UPSTREAM_POLL_S)
+                attempt = self._open_attempt()
+        finally:
+            route.waiting_calls -= 1
         return attempt
 
-    def _open_attempt(self):
+    def _open_attempt(self, hedge=False):
         """Send the request to the upstream that is chosen; None when there is none."""
         while True:
             choice = self.route.choose(self.rule, monotonic(), self.exclude)
@@ -120,7 +170,7 @@
             view, peer = choice
             self.exclude = (*self.exclude, view)
             try:
-                attempt = Attempt(self, view, peer)
+                attempt = Attempt(self, view, peer, hedge)
             except LinkClosed:
                 # Nothing was sent.
                 continue
@@ -153,7 +203,7 @@
     def _open_hedge(self):
         if len(self.attempts) > 1 or not self.route.budget.try_hedge():
             return None
-        hedge = self._open_attempt()
+        hedge = self._open_attempt(hedge=True)
         if hedge is not None:
             self.router.counters.add("hedges", service=self.route.name)
         return hedge
@@ -200,6 +250,8 @@
             self.router.counters.add("retries_denied")
             return None
         retry = self._open_attempt()
+        if retry is None and reason == "draining":
+            retry = await self._late_attempt()
         if retry is not None:
             self.router.counters.add("retries", reason=reason)
             attempt.give_up()
@@ -212,7 +264,7 @@
                 return code if code in RETRIABLE_CODES else None
             case Failed(kind=FailureKind.TIMED_OUT):
                 return None
-            case Failed(kind=kind) if repeatable and self.crash_count < 2:
+            case Failed(kind=kind) if repeatable and self.crash_count < REFUSED_CRASHES:
                 return kind
             case Head() if repeatable:
                 return "failed-status"
@@ -229,67 +281,23 @@
                 attempt.end(Outcome.CANCELLED, outcome.load)
             case Failed(kind=FailureKind.CRASHED):
                 attempt.end(Outcome.FAILED, outcome.load)
-                await self._tell_crash(attempt, outcome)
+                self.crash_count = max(outcome.crash_count, self.crash_count + 1)
+                await report_crash(self, attempt)
             case _:
                 attempt.end(Outcome.FAILED, outcome.load)
 
-    async def _tell_crash(self, attempt, failed):
-        """Tell every daemon of the service before the request may run again."""
-        self.crash_count = max(failed.crash_count, self.crash_count + 1)
-        instance = attempt.view.instance
-        if self.router.server.service == self.route.name and not attempt.local:
-            self.router.server.add_suspect(self.fingerprint, self.crash_count, instance)
-        now = monotonic()
-        links = [p.link for p in self.route.peers.values() if p.is_usable(now)]
-        tasks = [
-            self.loop.create_task(
-                link.tell_suspect(self.fingerprint, self.crash_count, instance)
-            )
-            for link in links
-        ]
-        if tasks:
-            _, late = await asyncio.wait(tasks, timeout=SUSPECT_ACK_S)
-            for task in late:
-                task.cancel()
-
     async def _answer(self, attempt, outcome):
         match outcome:
             case Head():
-                await self._relay(attempt, outcome)
+                await relay_answer(self, attempt, outcome)
             case Refuse():
                 self.router.answer(self.exchange, refusal_from_frame(outcome))
             case Failed():
-                refusal = refusal_after_failure(self.rule.kind, outcome)
+                refusal = refusal_after_failure(
+                    self.rule.kind, outcome, self.crash_count
+                )
                 self.router.answer(self.exchange, refusal)
 
-    async def _relay(self, attempt, head):
-        """Pass the answer on completely, or cut the caller's connection."""
-        exchange = self.exchange
-        body = attempt.call.body
-        try:
-            data = body.take()
-            ended = body.exhausted
-            exchange.start(head.status, head.headers, data, ended)
-            if not ended:
-                async with asyncio.timeout_at(self.deadline):
-                    await _relay_rest(body, exchange)
-        except (CallFailed, LinkError, ValueError):
-            self.router.counters.add("answers_cut")
-            attempt.end(Outcome.FAILED, None)
-            exchange.abort()
-            return
-        attempt.end(Outcome.SUCCEEDED, head.load)
-        self.route.hedges.record(self.rule, attempt.latency_s)
-
-
-async def _relay_rest(body, exchange):
-    ended = False
-    while not ended:
-        data = await body.read()
-        ended = body.exhausted
-        await exchange.send(data)
-    exchange.finish()
-
 
 def _is_answer(outcome):
     return type(outcome) is Head and outcome.status not in FAILED_STATUSES
--- a/goldcresthoist/daemon/serving.py
+++ b/goldcresthoist/daemon/serving.py
@@ -3,13 +3,13 @@
 import asyncio
 from time import monotonic
 
-from loguru import logger
-
 from goldcresthoist.balance import AdmissionRefused, Draining, Saturated
+from goldcresthoist.config.model import AtMostOnce, Upload
 from goldcresthoist.daemon.kinds import KEYED
 from goldcresthoist.daemon.once import OnceRunner
 from goldcresthoist.daemon.upstream_call import UpstreamCall
 from goldcresthoist.links.frames import FailureKind, LoadReport
+from goldcresthoist.telemetry import log_event
 
 __all__ = ["CallServer"]
 
@@ -58,12 +58,15 @@
         self.upstream = upstream
         self.suspects = suspects
         self.once = OnceRunner(service, upstream, ledger)
+        # An `UploadRunner`, set by a daemon that has an object store.
+        self.uploads = None
         self.counters = counters
         self.configuration = None
         self.admission = None
         self.draining = False
         self.loop = asyncio.get_running_loop()
         self.kept = set()
+        self.suspect_waiters = []
         # Calls at the upstream. Their deadlines are checked by one task, since a timer
         # for each call costs more than the check.
         self.active = set()
@@ -92,11 +95,12 @@
         """Count a request that was running when another upstream crashed."""
         self.counters.add("crash_suspects")
         self.suspects.learn(fingerprint, count, monotonic())
-        logger.warning(
-            "event=crash-suspect fingerprint={} count={} instance={}",
-            fingerprint.hex(),
-            count,
-            instance,
+        log_event(
+            "warning",
+            "crash suspect",
+            fingerprint=fingerprint,
+            count=count,
+            instance=instance,
         )
 
     async def close(self):
@@ -110,7 +114,7 @@
         try:
             await self._admit(call)
         except Exception as exc:
-            logger.exception("event=call-error service={}", self.service)
+            log_event("error", "call failed", service=self.service, error=exc)
             if not call.done:
                 call.fail(FailureKind.BROKEN, repr(exc), self.load_report())
 
@@ -122,16 +126,32 @@
         if rule is None:
             self._refuse(call, "not-ready", "no configuration for this work yet")
             return
-        if self.suspects.refused(message.fingerprint, now, message.crash_count):
-            self._refuse(call, "crash-suspect", "the request crashed two upstreams")
+        if self._refuse_crash_suspect(call):
+            return
+        if message.hedge and self.suspects.count(message.fingerprint, now):
+            # Two copies of a suspect could end two upstreams before either is counted.
+            self._refuse(call, "saturated", "a crash suspect is not hedged")
+            return
+        if not await self._take_suspect_turn(message, deadline):
+            text = "other requests that may crash the upstream run first"
+            self._refuse(call, "saturated", text, SUSPECT_RETRY_MS)
+            return
+        if self._refuse_crash_suspect(call):
+            # The turn before this one may have ended with its second crash.
+            self._end_suspect(message.fingerprint, False)
             return
+        slot = None
         try:
+            now = monotonic()
             slot = self.admission.acquire_nowait(rule, deadline, now)
             if slot is None:
                 slot = await self.admission.acquire(rule, deadline, now)
         except AdmissionRefused as exc:
             self._refuse_admission(call, exc)
             return
+        finally:
+            if slot is None:
+                self._end_suspect(message.fingerprint, False)
         self.running += 1
         self.idle.clear()
         if isinstance(rule.kind, KEYED):
@@ -139,21 +159,41 @@
         else:
             await self._run_in_slot(call, rule, deadline, slot)
 
+    def _refuse_crash_suspect(self, call):
+        message = call.open
+        refused = self.suspects.refused(
+            message.fingerprint, monotonic(), message.crash_count
+        )
+        if refused:
+            self._refuse(call, "crash-suspect", "the request crashed two upstreams")
+        return refused
+
+    async def _take_suspect_turn(self, message, deadline):
+        """Wait until no other suspect runs; return at once for other requests."""
+        start = self.suspects.try_start
+        while not start(message.fingerprint, monotonic(), message.crash_count):
+            waiter = self.loop.create_future()
+            self.suspect_waiters.append(waiter)
+            timeout_s = deadline - monotonic()
+            done, _ = await asyncio.wait((waiter,), timeout=timeout_s)
+            if not done:
+                return False
+        return True
+
+    def _end_suspect(self, fingerprint, succeeded):
+        self.suspects.end(fingerprint, succeeded)
+        if self.suspect_waiters and self.suspects.running is None:
+            waiters, self.suspect_waiters = self.suspect_waiters, []
+            for waiter in waiters:
+                if not waiter.done():
+                    waiter.set_result(None)
+
     async def _run_in_slot(self, call, rule, deadline, slot):
-        fingerprint = call.open.fingerprint
         succeeded = False
         try:
-            now = monotonic()
-            crashes = call.open.crash_count
-            if not self.suspects.try_start(fingerprint, now, crashes):
-                message = "another request that may crash the upstream runs here"
-                self._refuse(call, "saturated", message, SUSPECT_RETRY_MS)
-                return
-            try:
-                succeeded = await self._run(call, rule, deadline)
-            finally:
-                self.suspects.end(fingerprint, succeeded)
+            succeeded = await self._run(call, rule, deadline)
         finally:
+            self._end_suspect(call.open.fingerprint, succeeded)
             self.admission.release(slot, monotonic())
             self.running -= 1
             if not self.running:
@@ -161,8 +201,11 @@
 
     async def _run(self, call, rule, deadline):
         upstream_call = UpstreamCall(call, self.upstream, rule, deadline, self)
-        if isinstance(rule.kind, KEYED):
-            return await self.once.run(upstream_call)
+        match rule.kind:
+            case Upload() if self.uploads is not None:
+                return await self.uploads.run(upstream_call)
+            case AtMostOnce() | Upload():
+                return await self.once.run(upstream_call)
         return await upstream_call.run()
 
     def crashed(self, call):
--- /dev/null
+++ b/goldcresthoist/gossip/probing.py
@@ -0,0 +1,163 @@
+"""Tasks that find out which members are alive."""
+
+import asyncio
+import random
+
+from goldcresthoist.gossip.exchange import new_nonce
+from goldcresthoist.gossip.member import MemberState
+from goldcresthoist.gossip.messages import IndirectProbe, Probe
+
+__all__ = [
+    "choose_dead",
+    "dead_probes_per_s",
+    "expire_suspicions",
+    "forget_members",
+    "probe_dead",
+    "probe_members",
+]
+
+# Below this many live peers, silence is more likely their failure than this daemon's.
+MIN_PEERS_TO_BE_ISOLATED = 3
+LOST_DOMAIN_WEIGHT = 2
+KEPT_OF_LOST_DOMAIN = 8
+
+
+async def probe_members(exchange):
+    """Probe one random live member per interval, for ever."""
+    options = exchange.options
+    while True:
+        started = exchange.view.now()
+        if slots := exchange.view.roster.random_live(1):
+            await _probe(exchange, slots[0])
+        spent = exchange.view.now() - started
+        jitter = random.uniform(0.9, 1.1)
+        await asyncio.sleep(max(0.0, options.probe_interval_s * jitter - spent))
+
+
+async def _probe(exchange, slot):
+    view, options = exchange.view, exchange.options
+    key = view.roster.keys[slot]
+    record = view.roster.record(slot)
+    started = view.now()
+    states = _accusation(view, slot)
+    probe = Probe(new_nonce(), key)
+    address = record.gossip_address
+    timeout = options.probe_timeout_s
+    if await exchange.request(probe, address, timeout, states=states):
+        return
+    if await _probe_indirectly(exchange, slot, record):
+        return
+    allowed = options.probe_timeout_s + options.indirect_timeout_s
+    if view.now() - started > allowed + options.frozen_after_s:
+        return
+    if view.roster.slots.get(key) == slot and not _isolated(exchange):
+        view.suspect(slot)
+
+
+def _accusation(view, slot):
+    """Return the update that the member has to refute."""
+    update = view.roster.update_of(slot)
+    return update.pack() if update.state >= MemberState.SUSPECT else b""
+
+
+async def _probe_indirectly(exchange, slot, record):
+    options = exchange.options
+    nonce = new_nonce()
+    key = exchange.view.roster.keys[slot]
+    message = IndirectProbe(nonce, key, record.gossip_address)
+    answer = asyncio.get_running_loop().create_future()
+    exchange.waiting[nonce] = answer
+    try:
+        for helper in exchange.view.roster.random_live(
+            options.indirect_probes, exclude=(slot,)
+        ):
+            exchange.send_to(helper, message)
+        async with asyncio.timeout(options.indirect_timeout_s):
+            return await answer
+    except TimeoutError:
+        return None
+    finally:
+        del exchange.waiting[nonce]
+
+
+def _isolated(exchange):
+    """Return whether this daemon, and not its peers, is likely to be cut off."""
+    silent = exchange.view.now() - exchange.heard_at
+    peers = len(exchange.view.roster.live)
+    return silent > exchange.options.isolated_after_s and (
+        peers >= MIN_PEERS_TO_BE_ISOLATED
+    )
+
+
+async def probe_dead(exchange):
+    """Probe dead members rarely, so that those that return are discovered."""
+    view, options = exchange.view, exchange.options
+    while True:
+        await asyncio.sleep(options.probe_interval_s)
+        if random.random() >= dead_probes_per_s(view, options):
+            continue
+        if (slot := choose_dead(view)) is not None:
+            probe = Probe(new_nonce(), view.roster.keys[slot])
+            accusation = _accusation(view, slot)
+            exchange.send_to(slot, probe, states=accusation, updates=False)
+
+
+def dead_probes_per_s(view, options):
+    """Return how often this daemon probes dead members.
+
+    All live members share the work. A lost domain counts as a few members only: one
+    that answers shows that the domain is back, and a probe of each member would make
+    each of them refute.
+    """
+    weight = sum(weight for _, weight in _dead_weights(view))
+    return options.dead_probe_rate * weight / view.population()
+
+
+def choose_dead(view):
+    """Return a random dead slot with the chances that `dead_probes_per_s` implies."""
+    numbers = _dead_weights(view)
+    if not numbers:
+        return None
+    domains, weights = zip(*numbers, strict=True)
+    domain = random.choices(domains, weights)[0]
+    slots = [slot for slot in view.roster.dead if view.roster.domains[slot] == domain]
+    return random.choice(slots)
+
+
+def _dead_weights(view):
+    """Return pairs of domain number and the members it counts as."""
+    weights = []
+    for number, counts in enumerate(view.roster.domain_counts):
+        if dead := counts[MemberState.DEAD]:
+            lost = view.roster.domain_names[number] in view.lost_domains
+            weights.append((number, min(dead, LOST_DOMAIN_WEIGHT) if lost else dead))
+    return weights
+
+
+async def expire_suspicions(exchange):
+    """Declare suspected members dead that did not refute in time."""
+    view, options = exchange.view, exchange.options
+    while True:
+        due = view.now() + options.expiry_interval_s
+        await asyncio.sleep(options.expiry_interval_s)
+        late = view.now() - due
+        if late > options.frozen_after_s:
+            view.postpone_suspicions(late + view.suspicion_s())
+        elif _isolated(exchange):
+            view.postpone_suspicions(options.expiry_interval_s)
+        else:
+            view.expire_suspicions()
+
+
+async def forget_members(exchange):
+    """Forget members that have been dead or gone for long."""
+    view, options = exchange.view, exchange.options
+    while True:
+        await asyncio.sleep(options.forget_interval_s)
+        kept = {}
+        for slot in view.roster.expired(view.now() - options.dead_kept_s):
+            domain = view.roster.domain_of(slot)
+            kept[domain] = kept.get(domain, 0) + 1
+            # The last members of a lost domain are the only way to find it again.
+            if domain not in view.lost_domains or kept[domain] > KEPT_OF_LOST_DOMAIN:
+                view.roster.remove(slot)
--- a/goldcresthoist/tests/standins/upstream.py
+++ b/goldcresthoist/tests/standins/upstream.py
@@ -8,7 +8,8 @@
 - ``status``: status of the answer; ``echo``: answer with the request body;
 - ``fault``: ``crash`` (the process ends), ``close`` (no answer), ``truncate``,
   ``longer`` (bytes after the answer), ``garbage``, ``no-length``, ``conflict``
-  (ambiguous framing), ``reset-body`` (ends while the body is received).
+  (ambiguous framing), ``early`` (answers before the body is received), ``reset-body``
+  (ends while the body is received).
 
 ``POST /-/faults`` sets the same for all requests with JSON: ``delay_ms``, ``status``,
 ``fault``, and ``crash_on`` (a text; a request whose target has it ends the process).
@@ -29,6 +30,7 @@
 
 CHUNK = bytes(64 * 1024)
 CRASH_STATUS = 70
+TRUNCATE_DELAY_S = 0.02
 
 
 class UpstreamStandIn:
@@ -49,6 +51,9 @@
         self.counts = Counter()
         self.runs = Counter()
         self.listener = None
+        self.connections = set()
+        # Tests in one process replace this by `drop_everything`.
+        self.crash = lambda: os._exit(CRASH_STATUS)
 
     async def listen(self, host, port):
         """Start to accept connections; return the port."""
@@ -58,6 +63,12 @@
         )
         return self.listener.sockets[0].getsockname()[1]
 
+    def drop_everything(self):
+        """Close the listener and all connections, as the end of the process does."""
+        self.listener.close()
+        for connection in tuple(self.connections):
+            connection.transport.abort()
+
     def report(self):
         """Return the counts as a plain mapping."""
         return {"counts": dict(self.counts), "runs": dict(self.runs)}
@@ -99,10 +110,12 @@
         """Start the task of the connection."""
         self.transport = transport
         self.standin.counts["connections"] += 1
+        self.standin.connections.add(self)
         self.task = asyncio.get_running_loop().create_task(self._run())
 
     def connection_lost(self, exc):
         """Count a request that is cut off."""
+        self.standin.connections.discard(self)
         if self.running:
             self.standin.counts["cancelled"] += 1
         self.task.cancel()
@@ -178,7 +191,8 @@
             standin.runs[key] += 1
         marker = faults.get("crash_on")
         if marker and marker in request.target:
-            os._exit(CRASH_STATUS)
+            standin.crash()
+            return
         async with standin.slots:
             delay_ms = float(request.options.get("ms", standin.service_ms))
             delay_ms += faults.get("delay_ms", 0.0)
@@ -187,6 +201,7 @@
             fault = request.options.get("fault") or faults.get("fault")
             if fault == "early":
                 self._write_head(413, 0)
+                standin.counts["completed"] += 1
                 return
             await request.complete.wait()
             if fault:
@@ -241,9 +256,13 @@
     def _misbehave(self, fault):
         write = self.transport.write
         if fault == "crash":
-            os._exit(CRASH_STATUS)
+            self.standin.crash()
+            return
         elif fault == "truncate":
             write(b"HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\nshort")
+            loop = asyncio.get_running_loop()
+            loop.call_later(TRUNCATE_DELAY_S, self.transport.close)
+            return
         elif fault == "longer":
             write(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nokHTTP/1.1 200 OK\r\n")
             write(b"Content-Length: 6\r\n\r\nforged")
