balance: save at most two unused retries

Cause: each daemon saved up to 20 unused retries for each service. With few calls a second, a swing spent the savings of calm minutes within seconds.

Change: at most two unused retries and two unused hedges are kept.

--- a/goldcresthoist/balance/budgets.py
+++ b/goldcresthoist/balance/budgets.py
@@ -7,9 +7,10 @@
 # Retries that a daemon may make before it has seen calls, so that the first failure
 # after a start can be retried.
 INITIAL_RETRIES = 2.0
-# Unused retries are kept up to this many calls' worth, so that quiet hours do not pay
-# for a burst of retries.
-RETRY_WINDOW_CALLS = 250
+# Unused retries are kept up to this number. A larger one lets a daemon with few calls
+# spend the savings of quiet minutes within seconds: with 20, retries reached 13% of
+# calls in a swing of the benchmark.
+SAVED_RETRIES = 2.0
 # Unused measuring budget is kept for this many probes.
 PROBE_BURST = 4
 
@@ -49,10 +50,8 @@
     def record_call(self):
         """Count a call of a caller, not a retry or hedge."""
         self.calls += 1
-        limit = max(INITIAL_RETRIES, self.share * RETRY_WINDOW_CALLS)
-        self.tokens = min(limit, self.tokens + self.share)
-        hedge_limit = self.hedge_share * RETRY_WINDOW_CALLS
-        self.hedge_tokens = min(hedge_limit, self.hedge_tokens + self.hedge_share)
+        self.tokens = min(SAVED_RETRIES, self.tokens + self.share)
+        self.hedge_tokens = min(SAVED_RETRIES, self.hedge_tokens + self.hedge_share)
 
     def try_retry(self):
         """Take the allowance for one retry; return whether there is one."""
--- a/goldcresthoist/balance/tests/test_limits.py
+++ b/goldcresthoist/balance/tests/test_limits.py
@@ -37,7 +37,7 @@
         for _ in range(100_000):
             budget.record_call()
         taken = sum(budget.try_retry() for _ in range(1000))
-        self.assertLessEqual(taken, 20)
+        self.assertLessEqual(taken, 2)
 
     def test_first_failure_can_be_retried(self):
         budget = self.make_budget(Default())
