balance: leave a full domain gradually

All daemons left and entered a domain at once when a late report crossed one limit.

Change: the share of calls that overflow grows from 0 at half the slots in use to all at 1.1 times the slots.

--- a/goldcresthoist/balance/chooser.py
+++ b/goldcresthoist/balance/chooser.py
@@ -138,12 +138,24 @@
             view, score = self._better_of_two(tier, rule, now, exclude)
             if view is None:
                 continue
-            if score < self.policy.spare_share:
+            if self._has_spare(score):
                 return view
             if best is None or score < best_score:
                 best, best_score = view, score
         return best
 
+    def _has_spare(self, score):
+        """Return whether calls should stay in this domain.
+
+        The answer changes gradually with the load. With one limit, all daemons leave a
+        domain at once and return at once when reports are late.
+        """
+        policy = self.policy
+        above = score - policy.spare_share
+        if above <= 0.0:
+            return True
+        return self.random() * (policy.full_share - policy.spare_share) > above
+
     def _better_of_two(self, tier, rule, now, exclude):
         first = self._draw(tier, rule, now, exclude, None)
         if first is None:
--- a/goldcresthoist/balance/policy.py
+++ b/goldcresthoist/balance/policy.py
@@ -22,8 +22,10 @@
     """Two random choices by known load, with limits. Times are in seconds."""
 
     name: str = "default"
-    # Share of an upstream's slots above which calls overflow to a farther domain.
-    spare_share: float = 0.8
+    # Above the first share of an upstream's slots, calls begin to overflow to a farther
+    # domain; above the second, all do.
+    spare_share: float = 0.5
+    full_share: float = 1.1
     # A report that is this old counts half; the rest is the mean of the pool.
     report_half_life_s: float = 0.1
     # An upstream this many times slower than the pool has no spare capacity.
