--- a/goldcresthoist/balance/chooser.py
+++ b/goldcresthoist/balance/chooser.py
@@ -157,11 +157,6 @@
         return self.random() * (policy.full_share - policy.spare_share) > above
 
     def _better_of_two(self, tier, rule, now, exclude):
-        """Return an upstream with spare capacity, or the less loaded of two.
-
-        Two upstreams with spare capacity are not compared: neither makes a call wait,
-        and with late reports all daemons would choose the same one.
-        """
         first = self._draw(tier, rule, now, exclude, None)
         if first is None:
             return None, 0.0
@@ -170,7 +165,7 @@
         if first.ejections:
             return first, 0.0
         score = self._score(first, now)
-        if len(tier) == 1 or score <= self.policy.spare_share:
+        if len(tier) == 1:
             return first, score
         second = self._draw(tier, rule, now, exclude, first)
         if second is None:
