balance: recognise load reports that arrive late

Cause: reports that arrive 0.5 s late, without a sign of it, were taken for fresh, and all daemons followed them. Leaving a domain gradually had not helped.

Change: a report carries the sender's clock in 16-bit milliseconds. The smallest difference to the own clock stands for no delay, so that more is delay and the report counts as that much older. The service time is sent as an integer, so that a report takes 9 bytes instead of 14.

--- a/goldcresthoist/balance/admission.py
+++ b/goldcresthoist/balance/admission.py
@@ -3,6 +3,7 @@
 import asyncio
 
 from goldcresthoist.balance._lanes import Lane, Waiter, is_short, split_usual_s
+from goldcresthoist.balance._lateness import clock_ms
 from goldcresthoist.balance.errors import Draining, Saturated
 from goldcresthoist.balance.policy import Default, Naive
 from goldcresthoist.links.frames import LoadReport
@@ -138,11 +139,18 @@
         self.service_s += SERVICE_WEIGHT * (held_s - self.service_s)
         self._fill(now)
 
-    def report(self):
-        """Return the load that answers carry to other daemons."""
+    def report(self, now=None):
+        """Return the load that answers carry to other daemons.
+
+        With ``now``, its receivers can tell how late it arrives.
+        """
         slots = min(self.slots, self.configuration.slots)
-        service_ms = round(self.service_s * 1000.0, 2)
-        return LoadReport(self.in_flight, self.queued, slots, service_ms, self.draining)
+        # An integer takes 1 to 3 bytes in a frame, a float 9.
+        service_ms = round(self.service_s * 1000.0)
+        at_ms = -1 if now is None else clock_ms(now)
+        return LoadReport(
+            self.in_flight, self.queued, slots, service_ms, self.draining, at_ms
+        )
 
     def drain(self):
         """Refuse new and waiting calls from now on; running calls go on."""
--- a/goldcresthoist/balance/chooser.py
+++ b/goldcresthoist/balance/chooser.py
@@ -2,6 +2,7 @@
 
 import random
 
+from goldcresthoist.balance._lateness import lateness_s
 from goldcresthoist.balance._outliers import may_try, record_outcome
 from goldcresthoist.balance.policy import Default, Naive
 from goldcresthoist.balance.views import Outcome
@@ -86,6 +87,7 @@
         others = load.in_flight + load.queued - view.in_flight
         view.others = others if others > 0 else 0
         view.report = load
+        view.report_age_from = now - lateness_s(view, load.at_ms, now)
         view.report_time = now
         view.draining = load.draining
         if load.slots > 0:
@@ -105,7 +107,7 @@
         if view.report is None:
             return view.in_flight + mean
         half_life = self.policy.report_half_life_s
-        weight = half_life / (half_life + now - view.report_time)
+        weight = half_life / (half_life + now - view.report_age_from)
         return view.in_flight + mean + (view.others - mean) * weight
 
     def _record_latency(self, view, ratio, now):
--- a/goldcresthoist/balance/tests/test_chooser.py
+++ b/goldcresthoist/balance/tests/test_chooser.py
@@ -4,6 +4,7 @@
 from collections import Counter
 
 from goldcresthoist.balance import Naive, Outcome
+from goldcresthoist.balance._lateness import clock_ms
 from goldcresthoist.balance.tests.builders import (
     LONG,
     SHORT,
@@ -71,6 +72,20 @@
         old = self.chooser.known_load(view, WARM + 60.0)
         self.assertLess(old, fresh / 4)
 
+    def test_late_report_counts_as_old_although_it_has_just_arrived(self):
+        for late_s, now in ((0.0, WARM), (0.5, WARM + 0.7)):
+            # The clock of the peer shows 7 s more than the own one.
+            at_ms = clock_ms(now + 7.0 - late_s)
+            self.report("u0", now, in_flight=12, at_ms=at_ms)
+        view = self.pool.get("u0")
+        self.assertAlmostEqual(view.report_age_from, WARM + 0.2, delta=0.002)
+        self.assertLess(self.chooser.known_load(view, WARM + 0.7), 6)
+
+    def test_restarted_peer_with_another_clock_is_not_late(self):
+        self.report("u0", WARM, at_ms=clock_ms(WARM))
+        self.report("u0", WARM + 5.0, at_ms=clock_ms(WARM - 20.0))
+        self.assertEqual(self.pool.get("u0").report_age_from, WARM + 5.0)
+
     def test_slow_upstream_loses_to_a_farther_one(self):
         for instance in ("u0", "u1", "u2", "u3", "u4", "u5"):
             view = self.pool.get(instance)
--- a/goldcresthoist/balance/views.py
+++ b/goldcresthoist/balance/views.py
@@ -26,6 +26,8 @@
         Own calls that run or wait there.
     others : float
         Calls of other daemons there at the time of the last report.
+    report_age_from : float
+        When the last report was made, as far as its lateness is known.
     slowness : float
         Moving average of latency divided by the usual time of the work.
     ejections : int
@@ -33,6 +35,8 @@
     """
 
     __slots__ = (
+        "clock_base",
+        "clock_drift_due",
         "consecutive_failures",
         "draining",
         "ejected_until",
@@ -46,6 +50,7 @@
         "pool",
         "region",
         "report",
+        "report_age_from",
         "report_time",
         "slots",
         "slowness",
@@ -64,6 +69,9 @@
         self.others = 0.0
         self.report = None
         self.report_time = now
+        self.report_age_from = now
+        self.clock_base = -1
+        self.clock_drift_due = now
         self.slowness = 1.0
         self.slowness_time = now
         self.consecutive_failures = 0
--- a/goldcresthoist/bench/node.py
+++ b/goldcresthoist/bench/node.py
@@ -83,10 +83,10 @@
         super().__init__(configuration, policy)
         self.totals = totals
 
-    def report(self):
+    def report(self, now=None):
         """Return the load that answers carry to other daemons."""
         start = time.thread_time()
-        report = super().report()
+        report = super().report(now)
         self.totals.add_measuring(start)
         return report
 
--- a/goldcresthoist/daemon/serving.py
+++ b/goldcresthoist/daemon/serving.py
@@ -79,7 +79,7 @@
         """Return the load as it is told to other daemons."""
         if self.admission is None:
             return LoadReport(0, 0, 0, 0.0, self.draining)
-        return self.admission.report()
+        return self.admission.report(monotonic())
 
     def start_draining(self):
         """Refuse new and waiting calls from now on; running calls go on."""
--- a/goldcresthoist/links/frames.py
+++ b/goldcresthoist/links/frames.py
@@ -45,7 +45,9 @@
 class LoadReport(msgspec.Struct, frozen=True, array_like=True):
     """Load of one upstream as counted by the daemon beside it.
 
-    ``service_ms`` is the moving average of the time that one call takes.
+    ``service_ms`` is the moving average of the time that one call takes. ``at_ms`` is
+    when the report was made, on the sender's monotonic clock in milliseconds modulo
+    65,536; -1 when it is not known.
     """
 
     in_flight: int
@@ -53,6 +55,7 @@
     slots: int
     service_ms: float
     draining: bool = False
+    at_ms: int = -1
 
 
 class Challenge(msgspec.Struct, frozen=True, array_like=True, tag=1):
