balance: remember a slow upstream for longer

Cause: under a noisy neighbour each of 11 entry daemons forgot after 0.5 s that an upstream was slow and sent it further calls.

Change: without new calls, half of the delay is forgiven in 4 s instead of 0.5 s.

--- a/goldcresthoist/balance/policy.py
+++ b/goldcresthoist/balance/policy.py
@@ -31,7 +31,7 @@
     # An upstream this many times slower than the pool has no spare capacity.
     slow_ratio: float = 2.0
     # Without new calls, a slow upstream is forgiven half of its delay in this time.
-    slowness_half_life_s: float = 0.5
+    slowness_half_life_s: float = 4.0
     # One straggler must not make a healthy upstream look slow.
     slowness_sample_limit: float = 8.0
     slow_start_s: float = 5.0
