Keep faults of subscribers away from the event loop

Cause: an exception in a callback of a received datagram reached the event loop, whose transport may close the socket. Change: it is logged and gossip goes on.

--- a/goldcresthoist/gossip/exchange.py
+++ b/goldcresthoist/gossip/exchange.py
@@ -6,6 +6,7 @@
 import time
 
 import msgspec
+from loguru import logger
 
 from goldcresthoist.config import split_address
 from goldcresthoist.gossip.ceiling import ByteCeiling
@@ -134,6 +135,10 @@
             self._accept(packet, address)
         except DatagramRejected:
             self.dropped += 1
+        except Exception:
+            # A fault in a subscriber must not reach the event loop, which may close
+            # the socket.
+            logger.exception("event=datagram_failed source={}", address)
 
     def _packet(self, message, states=b"", members=()):
         view = self.view
--- a/goldcresthoist/gossip/tests/test_datagrams.py
+++ b/goldcresthoist/gossip/tests/test_datagrams.py
@@ -35,6 +35,13 @@
         self._deliver(node, Sealer(SHARED_KEY).seal(packet, node.exchange.address))
         self.assertEqual(node.member("d1-s-2").state, MemberState.DEAD)
 
+    @virtual_time
+    async def test_fault_in_a_subscriber_does_not_stop_gossip(self):
+        _, node, packet = await self._cluster()
+        node.subscribe(lambda member: 1 / 0)
+        self._deliver(node, Sealer(SHARED_KEY).seal(packet, node.exchange.address))
+        self.assertEqual(node.member("d1-s-2").state, MemberState.DEAD)
+
     @virtual_time
     async def test_forged_datagram_is_dropped_and_counted(self):
         _, node, packet = await self._cluster()
