--- a/goldcresthoist/callers/request.py
+++ b/goldcresthoist/callers/request.py
@@ -110,7 +110,9 @@
         self.head_bytes += len(url)
 
     def on_header(self, name, value):
-        """Add one header."""
+        """Add one header; fields after the body are not forwarded."""
+        if not self.in_head:
+            return
         if value is None:
             value = b""
         name = name.lower()
--- a/goldcresthoist/callers/tests/test_caller_server.py
+++ b/goldcresthoist/callers/tests/test_caller_server.py
@@ -105,6 +105,15 @@
                 self.assertEqual(answer.status, 431)
                 self.assertEqual(answer.code, "headers-too-large")
 
+    async def test_fields_after_the_body_change_nothing(self):
+        caller = await self.connect()
+        caller.write(b"POST /a HTTP/1.1\r\n" + HOST)
+        caller.write(b"Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n")
+        caller.write(b"Idempotency-Key: forged\r\nX-Late: 1\r\n\r\n")
+        self.assertEqual((await caller.answer()).body, b"/aok")
+        (request,) = self.handled
+        self.assertEqual((request.key, len(request.headers)), ("", 1))
+
     async def test_bad_chunk_fails_the_body_that_is_received(self):
         caller = await self.connect()
         caller.write(b"POST /a HTTP/1.1\r\n" + HOST)
--- a/goldcresthoist/upstreams/connection.py
+++ b/goldcresthoist/upstreams/connection.py
@@ -180,8 +180,8 @@
             self.reusable = False
 
     def on_header(self, name, value):
-        """Add one header."""
-        if not self.complete:
+        """Add one header; fields after the body are not forwarded."""
+        if self.answer.status == 0 and not self.complete:
             self.answer.headers.append((name.lower(), value or b""))
 
     def on_headers_complete(self):
--- a/goldcresthoist/upstreams/tests/test_pool.py
+++ b/goldcresthoist/upstreams/tests/test_pool.py
@@ -125,6 +125,17 @@
         self.assertEqual(answer.status, 200)
         self.assertEqual(answer.headers, [(b"content-length", b"2")])
 
+    async def test_fields_after_the_body_are_dropped(self):
+        connection, writer = await self.start_exchange()
+        writer.write(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+        writer.write(b"2\r\nok\r\n0\r\nSet-Cookie: forged\r\n\r\n")
+        answer = await connection.head()
+        self.assertEqual(await answer.body.read(), b"ok")
+        await eventually(lambda: answer.body.ended)
+        self.assertEqual(answer.headers, [(b"transfer-encoding", b"chunked")])
+        self.pool.release(connection)
+        self.assertIn(connection, self.pool.idle)
+
     async def test_close_is_honoured(self):
         connection, writer = await self.start_exchange()
         writer.write(OK.replace(b"\r\n\r\n", b"\r\nConnection: close\r\n\r\n"))
