--- a/goldcresthoist/balance/chooser.py
+++ b/goldcresthoist/balance/chooser.py
@@ -2,6 +2,7 @@
 
 import random
 
+from goldcresthoist.balance._lateness import lateness_s
 from goldcresthoist.balance._outliers import may_try, record_outcome
 from goldcresthoist.balance.policy import Default, Naive
 from goldcresthoist.balance.views import Outcome
@@ -86,6 +87,7 @@
         others = load.in_flight + load.queued - view.in_flight
         view.others = others if others > 0 else 0
         view.report = load
+        view.report_age_from = now - lateness_s(view, load.at_ms, now)
         view.report_time = now
         view.draining = load.draining
         if load.slots > 0:
@@ -105,7 +107,7 @@
         if view.report is None:
             return view.in_flight + mean
         half_life = self.policy.report_half_life_s
-        weight = half_life / (half_life + now - view.report_time)
+        weight = half_life / (half_life + now - view.report_age_from)
         return view.in_flight + mean + (view.others - mean) * weight
 
     def _record_latency(self, view, ratio, now):
@@ -138,12 +140,24 @@
             view, score = self._better_of_two(tier, rule, now, exclude)
             if view is None:
                 continue
-            if score < self.policy.spare_share:
+            if self._has_spare(score):
                 return view
             if best is None or score < best_score:
                 best, best_score = view, score
         return best
 
+    def _has_spare(self, score):
+        """Return whether calls should stay in this domain.
+
+        The answer changes gradually with the load. With one limit, all daemons leave a
+        domain at once and return at once when reports are late.
+        """
+        policy = self.policy
+        above = score - policy.spare_share
+        if above <= 0.0:
+            return True
+        return self.random() * (policy.full_share - policy.spare_share) > above
+
     def _better_of_two(self, tier, rule, now, exclude):
         first = self._draw(tier, rule, now, exclude, None)
         if first is None:
--- a/goldcresthoist/daemon/serving.py
+++ b/goldcresthoist/daemon/serving.py
@@ -84,7 +84,7 @@
         """Return the load as it is told to other daemons."""
         if self.admission is None:
             return LoadReport(0, 0, 0, 0.0, self.draining or self.upstream.down)
-        report = self.admission.report()
+        report = self.admission.report(monotonic())
         if self.upstream.down:
             # Other daemons must not learn it from refusals, one call after another.
             report = msgspec.structs.replace(report, draining=True)
