balance: daemons report that their upstream fails; reserve for calls cut off by a crash

Cause: each of 11 entry daemons had to send three failing calls and its own trial calls before it knew that an upstream fails. Successes of calls from a healthy time reset the count of failures. Two saved retries were too few when an upstream or a daemon is lost: test_bystanders_of_a_crash_are_answered and test_reads_survive_a_killed_daemon failed.

Change: the daemon beside an upstream counts consecutive failures of all calls, tells `failing` in its load report at once, and invites a trial after a pause. Entry daemons avoid the upstream within the cap of half; nobody refuses calls because of the report. A success counts only if its call started after the last failure. Calls that end with their upstream or daemon are retried from a reserve of 24, refilled by 1.5% of calls.

--- a/goldcresthoist/balance/admission.py
+++ b/goldcresthoist/balance/admission.py
@@ -5,6 +5,7 @@
 from goldcresthoist.balance._lanes import Lane, Waiter, is_short, split_usual_s
 from goldcresthoist.balance._lateness import clock_ms
 from goldcresthoist.balance.errors import Draining, Saturated
+from goldcresthoist.balance.health import UpstreamHealth
 from goldcresthoist.balance.policy import Default, Naive
 from goldcresthoist.links.frames import LoadReport
 
@@ -46,6 +47,7 @@
     def __init__(self, configuration, policy):
         self.policy = policy
         self.lanes = {}
+        self.health = UpstreamHealth(policy)
         self.running_slots = set()
         self.short_running = 0
         self.long_running = 0
@@ -149,7 +151,13 @@
         service_ms = round(self.service_s * 1000.0)
         at_ms = -1 if now is None else clock_ms(now)
         return LoadReport(
-            self.in_flight, self.queued, slots, service_ms, self.draining, at_ms
+            self.in_flight,
+            self.queued,
+            slots,
+            service_ms,
+            self.draining,
+            at_ms,
+            self.health.failing,
         )
 
     def drain(self):
--- a/goldcresthoist/balance/chooser.py
+++ b/goldcresthoist/balance/chooser.py
@@ -3,7 +3,7 @@
 import random
 
 from goldcresthoist.balance._lateness import lateness_s
-from goldcresthoist.balance._outliers import may_try, record_outcome
+from goldcresthoist.balance._outliers import may_try, record_outcome, record_report
 from goldcresthoist.balance.policy import Default, Naive
 from goldcresthoist.balance.views import Outcome
 
@@ -80,7 +80,7 @@
             self._record_latency(view, latency_s / rule.usual_s, now)
         match self.policy:
             case Default():
-                record_outcome(view, outcome, self.policy, now)
+                record_outcome(view, outcome, self.policy, now, now - latency_s)
 
     def record_load(self, view, load, now):
         """Take over a load report, from an answer or from a pong."""
@@ -90,6 +90,8 @@
         view.report_age_from = now - lateness_s(view, load.at_ms, now)
         view.report_time = now
         view.draining = load.draining
+        if load.failing or view.ejected_by_report:
+            record_report(view, now)
         if load.slots > 0:
             view.slots = load.slots
         pool = view.pool
@@ -204,7 +206,9 @@
         age = now - view.first_seen
         if age < policy.slow_start_s:
             score /= max(SLOW_START_FLOOR, age / policy.slow_start_s)
-        if view.consecutive_failures and now < view.penalty_until:
+        # The penalty ends by itself: an upstream that the cap keeps from ejection gets
+        # no trial calls, so only usual calls can find out that it has recovered.
+        if view.consecutive_failures and now < view.failed_at + policy.ejection_s:
             score *= 1 + min(view.consecutive_failures, FAILURE_PENALTY_LIMIT)
         return score
 
--- a/goldcresthoist/balance/tests/builders.py
+++ b/goldcresthoist/balance/tests/builders.py
@@ -44,6 +44,6 @@
     return Chooser(policy or Default(), random.Random(seed))
 
 
-def make_load(in_flight=0, queued=0, draining=False, at_ms=-1):
+def make_load(in_flight=0, queued=0, draining=False, at_ms=-1, failing=False):
     """Return a load report of an upstream with 12 slots."""
-    return LoadReport(in_flight, queued, 12, 5, draining, at_ms)
+    return LoadReport(in_flight, queued, 12, 5, draining, at_ms, failing)
--- a/goldcresthoist/balance/tests/test_chooser.py
+++ b/goldcresthoist/balance/tests/test_chooser.py
@@ -27,7 +27,7 @@
     """Record calls that start and end at the upstream."""
     for _ in range(count):
         chooser.record_start(view, now)
-        chooser.record_end(view, outcome, 0.005, None, now, SHORT)
+        chooser.record_end(view, outcome, 0.0, None, now, SHORT)
 
 
 class LoadTest(unittest.TestCase):
@@ -161,6 +161,14 @@
         end_calls(self.chooser, self.bad, Outcome.FAILED, WARM, count=2)
         self.assertEqual(self.bad.ejections, 0)
 
+    def test_success_of_an_earlier_call_does_not_reset_the_count(self):
+        self.chooser.record_start(self.bad, WARM)
+        end_calls(self.chooser, self.bad, Outcome.FAILED, WARM + 0.1, count=2)
+        now = WARM + 0.2
+        self.chooser.record_end(self.bad, Outcome.SUCCEEDED, 0.2, None, now, SHORT)
+        end_calls(self.chooser, self.bad, Outcome.FAILED, now)
+        self.assertEqual(self.bad.ejections, 1)
+
     def test_refusals_do_not_eject(self):
         end_calls(self.chooser, self.bad, Outcome.REFUSED, WARM, count=20)
         self.assertEqual(self.bad.ejections, 0)
@@ -205,6 +213,27 @@
             durations.append(self.bad.ejected_until - now)
         self.assertEqual(durations, [2.0, 4.0, 8.0, 16.0, 30.0, 30.0, 30.0])
 
+    def report_failing(self, view, failing, now):
+        self.chooser.record_load(view, make_load(failing=failing), now)
+
+    def test_report_of_failure_ejects_until_the_daemon_there_invites_a_trial(self):
+        for now in (WARM, WARM + 0.9, WARM + 1.8):
+            self.report_failing(self.bad, True, now)
+            chosen = choose_many(self.chooser, self.pool, now + 0.8)
+            self.assertNotIn("u0", chosen)
+        self.report_failing(self.bad, False, WARM + 2.0)
+        self.assertEqual((self.bad.ejections, self.pool.ejected), (0, 0))
+
+    def test_reports_of_failure_eject_at_most_half(self):
+        for view in self.pool:
+            self.report_failing(view, True, WARM)
+        self.assertEqual(self.pool.ejected, 2)
+        self.assertIsNotNone(self.chooser.choose(self.pool, SHORT, WARM, ()))
+
+    def test_report_of_failure_that_is_not_repeated_ends(self):
+        self.report_failing(self.bad, True, WARM)
+        self.assertTrue(self.bad.usable(WARM + 1.0))
+
     def test_good_trial_returns_the_upstream_with_a_slow_start(self):
         self.eject(self.bad, WARM)
         end_calls(self.chooser, self.bad, Outcome.SUCCEEDED, WARM + 1.0)
--- a/goldcresthoist/balance/tests/test_limits.py
+++ b/goldcresthoist/balance/tests/test_limits.py
@@ -10,6 +10,7 @@
     ProbeBudget,
     RetryBudget,
 )
+from goldcresthoist.balance.health import UpstreamHealth
 from goldcresthoist.balance.tests.builders import SHORT, make_configuration
 
 FIRST = b"first"
@@ -39,6 +40,16 @@
         taken = sum(budget.try_retry() for _ in range(1000))
         self.assertLessEqual(taken, 2)
 
+    def test_calls_cut_off_by_a_crash_have_a_reserve_within_a_tenth(self):
+        budget = self.make_budget(Default())
+        self.assertTrue(all(budget.try_retry_lost() for _ in range(24)))
+        before = budget.retries
+        for _ in range(1000):
+            budget.record_call()
+            while budget.try_retry_lost() or budget.try_hedge():
+                pass
+        self.assertLess(budget.retries + budget.hedges - before, 100)
+
     def test_first_failure_can_be_retried(self):
         budget = self.make_budget(Default())
         budget.record_call()
@@ -106,6 +117,48 @@
         self.assertGreater(HedgeTimer().delay_s(SHORT), SHORT.usual_s)
 
 
+class UpstreamHealthTest(unittest.TestCase):
+    """Guards against every entry daemon having to find out by failing calls."""
+
+    def setUp(self):
+        self.health = UpstreamHealth(Default())
+
+    def test_consecutive_failures_are_reported_once(self):
+        changes = [self.health.record(True, 0.0, 0.0) for _ in range(5)]
+        self.assertEqual(changes, [False, False, True, False, False])
+        self.assertTrue(self.health.failing)
+
+    def test_first_failed_trial_is_reported_at_once(self):
+        for _ in range(3):
+            self.health.record(True, 0.0, 0.0)
+        self.assertFalse(self.health.check(0.9))
+        self.assertTrue(self.health.check(1.0))
+        self.assertFalse(self.health.failing)
+        self.assertTrue(self.health.record(True, 1.0, 1.0))
+        self.assertFalse(self.health.check(2.9))
+        self.assertTrue(self.health.check(3.0))
+
+    def test_pause_between_trials_is_bounded(self):
+        now = 0.0
+        for _ in range(20):
+            for _ in range(3):
+                self.health.record(True, now, now)
+            now += 4.0
+            self.assertTrue(self.health.check(now))
+
+    def test_success_of_an_earlier_call_does_not_end_the_failure(self):
+        for _ in range(3):
+            self.health.record(True, 0.2, 0.2)
+        self.assertFalse(self.health.record(False, 0.1, 0.3))
+        self.assertTrue(self.health.failing)
+
+    def test_success_ends_the_failure(self):
+        for _ in range(3):
+            self.health.record(True, 0.0, 0.0)
+        self.assertTrue(self.health.record(False, 0.5, 0.5))
+        self.assertFalse(self.health.failing)
+
+
 class CrashSuspectsTest(unittest.TestCase):
     """Guards against one request that crashes upstream after upstream."""
 
--- a/goldcresthoist/balance/views.py
+++ b/goldcresthoist/balance/views.py
@@ -39,14 +39,15 @@
         "clock_drift_due",
         "consecutive_failures",
         "draining",
+        "ejected_by_report",
         "ejected_until",
         "ejections",
+        "failed_at",
         "failure_domain",
         "first_seen",
         "in_flight",
         "instance",
         "others",
-        "penalty_until",
         "pool",
         "region",
         "report",
@@ -75,9 +76,10 @@
         self.slowness = 1.0
         self.slowness_time = now
         self.consecutive_failures = 0
-        self.penalty_until = 0.0
+        self.failed_at = float("-inf")
         self.ejections = 0
         self.ejected_until = 0.0
+        self.ejected_by_report = False
         self.trial_for_all_from = 0.0
         self.trial_running = False
         self.draining = False
--- a/goldcresthoist/bench/__main__.py
+++ b/goldcresthoist/bench/__main__.py
@@ -46,12 +46,12 @@
     """Run one phase; return its figures and read latencies."""
     failing = cluster.first_of_each_service()
     before = await asyncio.to_thread(cluster.reports)
-    started = await asyncio.to_thread(cluster.started, failing)
+    failed = await asyncio.to_thread(cluster.failed_fast, failing)
     fault = asyncio.create_task(apply_fault(cluster, phase.fault))
     results = await generator.run(draw(site, phase, seed))
     await fault
     after = await asyncio.to_thread(cluster.reports)
-    failing_calls = await asyncio.to_thread(cluster.started, failing) - started
+    failing_calls = await asyncio.to_thread(cluster.failed_fast, failing) - failed
     await asyncio.to_thread(clear_fault, cluster)
     figures = PhaseFigures(site, phase, results)
     return figures, figures.summary(failing_calls, node_costs(before, after))
--- a/goldcresthoist/bench/cluster.py
+++ b/goldcresthoist/bench/cluster.py
@@ -130,10 +130,10 @@
         reports = [msgspec.json.decode(line, type=NodeReport) for line in lines]
         return {report.instance: report for report in reports}
 
-    def started(self, targets):
-        """Return how many requests the upstreams have started."""
+    def failed_fast(self, targets):
+        """Return how many requests the upstreams have failed at once."""
         answers = [_post(target.upstream_port, None) for target in targets]
-        return sum(answer["counts"].get("started", 0) for answer in answers)
+        return sum(answer["counts"].get("failed_fast", 0) for answer in answers)
 
 
 def _stable_port():
--- a/goldcresthoist/bench/node.py
+++ b/goldcresthoist/bench/node.py
@@ -14,7 +14,14 @@
 from goldcresthoist.balance import Admission, Chooser, policy_named
 from goldcresthoist.daemon.collector import tune_collector
 from goldcresthoist.links import connection
-from goldcresthoist.links.frames import Failed, Head, Pong, Refuse, encode_frame
+from goldcresthoist.links.frames import (
+    Failed,
+    Head,
+    LoadReport,
+    Pong,
+    Refuse,
+    encode_frame,
+)
 from goldcresthoist.tests.pathnode import NodePlan, PathNode
 
 __all__ = ["NodeReport"]
@@ -23,12 +30,12 @@
 def _clock_cost_s():
     """Return what reading the clock twice adds to a measured time."""
     start = time.thread_time()
-    for _ in range(CLOCK_READS):
+    for _ in range(CLOCK_RUNS):
         time.thread_time()
-    return (time.thread_time() - start) / CLOCK_READS
+    return (time.thread_time() - start) / CLOCK_RUNS
 
 
-CLOCK_READS = 10_000
+CLOCK_RUNS = 10_000
 CLOCK_COST_S = _clock_cost_s()
 
 
@@ -46,11 +53,11 @@
     hedges: int = 0
     refused: int = 0
 
-    def add_measuring(self, start_s, factor=1.0):
-        """Add processor time since ``start_s``, multiplied by ``factor``."""
+    def add_measuring(self, start_s):
+        """Add processor time since ``start_s``."""
         self.measured_times += 1
         spent_s = time.thread_time() - start_s - CLOCK_COST_S
-        self.measuring_cpu_s += factor * max(0.0, spent_s)
+        self.measuring_cpu_s += max(0.0, spent_s)
 
 
 class MeasuredChooser(Chooser):
@@ -97,6 +104,16 @@
     def __init__(self, totals):
         self.totals = totals
         self.encoder = msgspec.msgpack.Encoder()
+        # The load is encoded together with its frame, so its share of that time can
+        # only be found on its own.
+        self.encoding_s = self._encoding_s()
+
+    def _encoding_s(self):
+        load = LoadReport(6, 0, 12, 100, False, 30_000)
+        start = time.thread_time()
+        for _ in range(CLOCK_RUNS):
+            self.encoder.encode(load)
+        return (time.thread_time() - start) / CLOCK_RUNS
 
     def encode(self, message):
         """Encode a frame and count it."""
@@ -104,10 +121,9 @@
         self.totals.link_bytes += len(data)
         # Pings detect failures of links; only the load in their answers is measuring.
         if isinstance(message, (Head, Refuse, Failed, Pong)):
-            start = time.thread_time()
             self.totals.measuring_bytes += len(self.encoder.encode(message.load))
             # The peer decodes what this daemon encodes, at about the same cost.
-            self.totals.add_measuring(start, 2.0)
+            self.totals.measuring_cpu_s += 2.0 * self.encoding_s
         return data
 
 
--- a/goldcresthoist/bench/upstream.py
+++ b/goldcresthoist/bench/upstream.py
@@ -49,6 +49,7 @@
         standin.counts["started"] += 1
         if standin.faults.get("fail_fast"):
             await request.complete.wait()
+            standin.counts["failed_fast"] += 1
             self._write_head(503, 0)
             return
         async with standin.slots:
--- a/goldcresthoist/daemon/kinds.py
+++ b/goldcresthoist/daemon/kinds.py
@@ -2,7 +2,7 @@
 
 from goldcresthoist.config.model import AtMostOnce, Read, Repeatable, Upload
 
-__all__ = ["KEYED", "REPEATABLE", "UPLOAD_METHODS"]
+__all__ = ["FAILED_STATUSES", "KEYED", "REPEATABLE", "UPLOAD_METHODS"]
 
 # Work that must not run twice and is named by an idempotency key.
 KEYED = (AtMostOnce, Upload)
@@ -10,3 +10,5 @@
 REPEATABLE = (Read, Repeatable)
 # Methods of uploads besides that of the work itself.
 UPLOAD_METHODS = ("PATCH", "HEAD")
+# Statuses of an upstream that fails rather than answers.
+FAILED_STATUSES = frozenset((500, 502, 503, 504))
--- a/goldcresthoist/daemon/routed_call.py
+++ b/goldcresthoist/daemon/routed_call.py
@@ -15,7 +15,7 @@
 from goldcresthoist.daemon.attempt import Attempt
 from goldcresthoist.daemon.call_head import fingerprint
 from goldcresthoist.daemon.crash_report import report_crash
-from goldcresthoist.daemon.kinds import REPEATABLE
+from goldcresthoist.daemon.kinds import FAILED_STATUSES, REPEATABLE
 from goldcresthoist.daemon.relay import relay_answer
 from goldcresthoist.links import LinkClosed
 from goldcresthoist.links.frames import Failed, FailureKind, Head, Refuse
@@ -29,8 +29,6 @@
 UPSTREAM_POLL_S = 0.05
 # The calls that wait must not take the memory of the daemon.
 MAX_WAITING_CALLS = 500
-# Statuses of an upstream that fails rather than answers.
-FAILED_STATUSES = frozenset((500, 502, 503, 504))
 
 
 class RoutedCall:
@@ -243,10 +241,7 @@
         reason = self._retry_reason(outcome)
         if reason is None or self.body_started:
             return None
-        # A draining upstream tells every daemon at once, so these retries are few and
-        # a planned stop must not fail a call for lack of budget.
-        budget = self.route.budget
-        if reason != "draining" and not budget.try_retry():
+        if not self._may_retry(reason):
             self.router.counters.add("retries_denied")
             return None
         retry = self._open_attempt()
@@ -257,6 +252,17 @@
             attempt.give_up()
         return retry
 
+    def _may_retry(self, reason):
+        budget = self.route.budget
+        match reason:
+            case "draining":
+                # A draining upstream tells every daemon at once, so these retries are
+                # few and a planned stop must not fail a call for lack of budget.
+                return True
+            case FailureKind.CRASHED | FailureKind.BROKEN:
+                return budget.try_retry_lost()
+        return budget.try_retry()
+
     def _retry_reason(self, outcome):
         repeatable = isinstance(self.rule.kind, REPEATABLE)
         match outcome:
--- a/goldcresthoist/daemon/serving.py
+++ b/goldcresthoist/daemon/serving.py
@@ -64,6 +64,8 @@
         self.configuration = None
         self.admission = None
         self.draining = False
+        # Set to `LinkServer.announce_load` by whoever has one.
+        self.announce_load = lambda: None
         self.loop = asyncio.get_running_loop()
         self.kept = set()
         self.suspect_waiters = []
@@ -201,7 +203,19 @@
 
     async def _run(self, call, rule, deadline):
         upstream_call = UpstreamCall(call, self.upstream, rule, deadline, self)
-        match rule.kind:
+        started = monotonic()
+        try:
+            return await self._run_by_kind(rule.kind, upstream_call)
+        finally:
+            if upstream_call.failed is not None:
+                self._record_health(upstream_call.failed, started)
+
+    def _record_health(self, failed, started):
+        if self.admission.health.record(failed, started, monotonic()):
+            self.announce_load()
+
+    async def _run_by_kind(self, kind, upstream_call):
+        match kind:
             case Upload() if self.uploads is not None:
                 return await self.uploads.run(upstream_call)
             case AtMostOnce() | Upload():
@@ -263,5 +277,9 @@
             for upstream_call in tuple(self.active):
                 if now >= upstream_call.deadline:
                     upstream_call.expire()
-            if self.admission is not None and self.admission.queued:
+            if self.admission is None:
+                continue
+            if self.admission.queued:
                 self.admission.expire(now)
+            if self.admission.health.check(now):
+                self.announce_load()
--- a/goldcresthoist/daemon/tests/builders.py
+++ b/goldcresthoist/daemon/tests/builders.py
@@ -28,6 +28,10 @@
         """Deny a retry."""
         return False
 
+    def try_retry_lost(self):
+        """Deny a retry of a call that was cut off."""
+        return False
+
     def try_hedge(self):
         """Deny a hedge."""
         return False
--- a/goldcresthoist/daemon/upstream_call.py
+++ b/goldcresthoist/daemon/upstream_call.py
@@ -3,6 +3,7 @@
 import asyncio
 from time import monotonic
 
+from goldcresthoist.daemon.kinds import FAILED_STATUSES
 from goldcresthoist.http_fields import end_to_end
 from goldcresthoist.links.errors import LinkError
 from goldcresthoist.links.frames import MAX_BODY_BYTES, FailureKind
@@ -28,6 +29,7 @@
         "call",
         "connection",
         "deadline",
+        "failed",
         "rule",
         "sender",
         "server",
@@ -39,6 +41,8 @@
         self.rule = rule
         self.upstream = upstream
         self.deadline = deadline
+        # Whether the upstream failed the call; None when that is not known.
+        self.failed = None
         self.server = server
         self.connection = None
         self.sender = None
@@ -51,6 +55,7 @@
         try:
             self.send()
             answer = await self.connection.head()
+            self.failed = answer.status in FAILED_STATUSES
             await self.relay(answer)
             return True
         except UpstreamError as exc:
@@ -67,6 +72,7 @@
         try:
             self.connection = await self.upstream.acquire()
         except UpstreamUnreachable as exc:
+            self.failed = True
             load = self.server.load_report()
             self.call.refuse("no-upstream", str(exc), load)
             return False
@@ -109,7 +115,9 @@
         """Tell the entry daemon that the call has no complete answer."""
         kind = FailureKind.BROKEN
         crash_count = 0
+        self.failed = True
         if isinstance(error, UpstreamTimedOut):
+            self.failed = None
             kind = FailureKind.TIMED_OUT
         elif self.connection.lost_by_peer:
             if await self.upstream.crashed(self.connection):
--- a/goldcresthoist/links/frames.py
+++ b/goldcresthoist/links/frames.py
@@ -47,7 +47,8 @@
 
     ``service_ms`` is the moving average of the time that one call takes. ``at_ms`` is
     when the report was made, on the sender's monotonic clock in milliseconds modulo
-    65,536; -1 when it is not known.
+    65,536; -1 when it is not known. ``failing`` tells that recent calls of everybody
+    failed at the upstream.
     """
 
     in_flight: int
@@ -56,6 +57,7 @@
     service_ms: float
     draining: bool = False
     at_ms: int = -1
+    failing: bool = False
 
 
 class Challenge(msgspec.Struct, frozen=True, array_like=True, tag=1):
--- a/goldcresthoist/tests/pathnode.py
+++ b/goldcresthoist/tests/pathnode.py
@@ -86,6 +86,7 @@
         self.link_server = LinkServer(
             member.instance, SHARED_KEY, self.server, self.counters
         )
+        self.server.announce_load = self.link_server.announce_load
         self.caller_server = CallerServer(self.router.handle, self.counters)
 
     async def start(self):
