--- a/goldcresthoist/balance/__init__.py
+++ b/goldcresthoist/balance/__init__.py
@@ -14,6 +14,7 @@
     Saturated,
     UnknownPolicy,
 )
+from goldcresthoist.balance.health import UpstreamHealth
 from goldcresthoist.balance.hedging import HedgeTimer
 from goldcresthoist.balance.policy import Default, Naive, Policy, policy_named
 from goldcresthoist.balance.suspects import CrashSuspects, SuspectRecord
@@ -37,6 +38,7 @@
     "Slot",
     "SuspectRecord",
     "UnknownPolicy",
+    "UpstreamHealth",
     "UpstreamPool",
     "UpstreamView",
     "policy_named",
--- a/goldcresthoist/balance/_lanes.py
+++ b/goldcresthoist/balance/_lanes.py
@@ -2,7 +2,7 @@
 
 from collections import deque
 
-__all__ = ["Lane", "Waiter", "is_short", "split_usual_s"]
+__all__ = ["Lane", "Slot", "Waiter", "is_short", "split_usual_s"]
 
 # Work counts as long next to work that is at least this many times shorter.
 LONG_RATIO = 4.0
@@ -28,6 +28,18 @@
     return rule.usual_s < border_s
 
 
+class Slot:
+    """The right to run one call. It must be released exactly once."""
+
+    __slots__ = ("lane", "long_from", "short", "started")
+
+    def __init__(self, lane, now):
+        self.lane = lane
+        self.short = lane.short
+        self.started = now
+        self.long_from = now + lane.short_limit_s
+
+
 class Waiter:
     """One call that waits for a slot until its deadline."""
 
--- a/goldcresthoist/balance/admission.py
+++ b/goldcresthoist/balance/admission.py
@@ -2,7 +2,7 @@
 
 import asyncio
 
-from goldcresthoist.balance._lanes import Lane, Waiter, is_short, split_usual_s
+from goldcresthoist.balance._lanes import Lane, Slot, Waiter, is_short, split_usual_s
 from goldcresthoist.balance._lateness import clock_ms
 from goldcresthoist.balance.errors import Draining, Saturated
 from goldcresthoist.balance.health import UpstreamHealth
@@ -16,18 +16,6 @@
 RETRY_AFTER_FLOOR_S = 0.01
 
 
-class Slot:
-    """The right to run one call. It must be released exactly once."""
-
-    __slots__ = ("lane", "long_from", "short", "started")
-
-    def __init__(self, lane, now):
-        self.lane = lane
-        self.short = lane.short
-        self.started = now
-        self.long_from = now + lane.short_limit_s
-
-
 class Admission:
     """Slots and a bounded queue for one upstream.
 
--- /dev/null
+++ b/goldcresthoist/bench/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of goldcresthoist.bench."""
