--- /dev/null
+++ b/goldcresthoist/tests/call_machine.py
@@ -0,0 +1,326 @@
+"""Stateful test of calls through several daemons against a simple oracle.
+
+The daemons run the real call path and ledger in one event loop; the table is a fake
+with faults. The oracle is what the upstreams ran.
+"""
+
+import asyncio
+from collections import Counter
+
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
+
+from goldcresthoist.config import AtMostOnce, Repeatable
+from goldcresthoist.daemon.owners import owner_name
+from goldcresthoist.daemon.records import OperationRecords
+from goldcresthoist.operations import OperationLedger
+from goldcresthoist.tests.cluster import RawCaller
+from goldcresthoist.tests.fake_platform import FakeObjects, FakeTable, Host
+from goldcresthoist.tests.fakes import PlainCounters
+from goldcresthoist.tests.pathnode import PathNode
+from goldcresthoist.tests.processes import (
+    make_member,
+    make_plan,
+    make_rule,
+    make_service,
+)
+from goldcresthoist.tests.standins.upstream import UpstreamStandIn
+
+__all__ = ["CallMachine"]
+
+NODES = ("front-1", "ledger-1", "ledger-2", "ledger-3")
+UPSTREAM_NODES = NODES[1:]
+KEYS = tuple(f"key-{number}" for number in range(4))
+CALL_LIMIT_S = 20.0
+SERVICE_MS = 15
+
+nodes = st.sampled_from(NODES)
+upstream_nodes = st.sampled_from(UPSTREAM_NODES)
+keys = st.sampled_from(KEYS)
+write_faults = st.sampled_from(("lose", "late", "vanish"))
+
+
+def ledger_service():
+    """Return a service with work of three kinds."""
+    # Short, so that a call to a daemon that stands still soon ends.
+    times = {"usual_s": 0.02, "longest_s": 1.0}
+    return make_service(
+        "ledger",
+        make_rule("read", "GET", "/entries", **times),
+        make_rule("put", "PUT", "/notes", Repeatable(), **times),
+        make_rule("grant", "POST", "/grants", AtMostOnce(), **times),
+    )
+
+
+class Site:
+    """The daemons and their upstreams; one of each for a node name."""
+
+    def __init__(self):
+        self.table = FakeTable()
+        self.objects = FakeObjects()
+        self.members = [make_member(name, name.rpartition("-")[0]) for name in NODES]
+        self.services = [ledger_service()]
+        self.standins = {}
+        self.ports = {}
+        self.nodes = {}
+        self.hosts = {}
+        self.starts = Counter()
+        self.gone = set()
+
+    async def start(self):
+        """Start every upstream and daemon."""
+        for name in NODES:
+            standin = UpstreamStandIn(service_ms=SERVICE_MS)
+            standin.crash = standin.drop_everything
+            self.standins[name] = standin
+            self.ports[name] = await standin.listen("127.0.0.1", 0)
+            await self.start_node(name)
+
+    async def start_node(self, name):
+        """Start a new process of a daemon."""
+        self.starts[name] += 1
+        host = self.hosts[name] = Host(name)
+        owner = owner_name(name, self.starts[name])
+        ledger = OperationLedger(self.table.client(host), self.objects.client(host))
+        records = OperationRecords(
+            ledger, owner, self.gone.__contains__, PlainCounters()
+        )
+        member = next(item for item in self.members if item.instance == name)
+        plan = make_plan(member, self.ports[name], self.members, self.services)
+        node = self.nodes[name] = PathNode(plan, ledger=records)
+        node.owner = owner
+        await node.start()
+
+    async def kill_node(self, name):
+        """End a daemon without a chance to write anything more."""
+        node = self.nodes.pop(name)
+        self.hosts[name].dead = True
+        self.gone.add(node.owner)
+        await node.close()
+
+    async def stop(self):
+        """Stop everything."""
+        for name in tuple(self.nodes):
+            await self.kill_node(name)
+        for standin in self.standins.values():
+            standin.drop_everything()
+        await asyncio.sleep(0)
+
+    def runs(self, key):
+        """Return how often upstreams received a key."""
+        return sum(standin.runs[key] for standin in self.standins.values())
+
+    def runs_of_attempt(self, attempt):
+        """Return how often upstreams received one attempt."""
+        return sum(standin.attempts[attempt] for standin in self.standins.values())
+
+
+class CallMachine(RuleBasedStateMachine):
+    """Calls, faults and the checks that must hold after each step."""
+
+    def __init__(self):
+        super().__init__()
+        self.loop = asyncio.new_event_loop()
+        self.site = Site()
+        self.attempts = 0
+        self.answers = {}
+        self.refused_attempts = set()
+        self.cancelled = set()
+        self.run(self.site.start())
+
+    def run(self, coroutine):
+        """Run one step."""
+        return self.loop.run_until_complete(coroutine)
+
+    def teardown(self):
+        """Check what is left once all faults are over, then stop."""
+        try:
+            self.run(self._heal())
+            for key, answer in self.answers.items():
+                again = self.run(self._repeat_until_recorded(key))
+                assert again == answer, f"{key}: first {answer}, later {again}"
+            self.keys_run_at_most_once()
+            self.refused_attempts_did_not_run()
+        finally:
+            self.run(self.site.stop())
+            self.loop.close()
+
+    @rule(entry=nodes, number=st.integers(0, 50))
+    def read(self, entry, number):
+        """A read gets its own whole answer or a refusal."""
+        target = f"/entries/{number}?attempt={self._next_attempt()}"
+        answer = self.run(self._call(entry, "GET", target))
+        if answer is not None and answer.status == 200:
+            assert answer.json()["target"] == target
+
+    @rule(entry=nodes, body=st.binary(max_size=2000))
+    def put(self, entry, body):
+        """Repeatable work gets the answer to its own body."""
+        target = f"/notes/1?echo=1&attempt={self._next_attempt()}"
+        answer = self.run(self._call(entry, "PUT", target, body))
+        if answer is not None and answer.status == 200:
+            assert answer.body == body
+
+    @rule(entry=nodes, key=keys)
+    def grant(self, entry, key):
+        """At-most-once work, also repeated."""
+        self.run(self._grant(entry, key))
+
+    @rule(first=nodes, second=nodes, key=keys)
+    def grant_twice_at_once(self, first, second, key):
+        """The same operation through two daemons at the same time."""
+
+        async def both():
+            await asyncio.gather(self._grant(first, key), self._grant(second, key))
+
+        self.run(both())
+
+    @rule(entry=nodes, key=keys, delay=st.floats(0, 0.03), victim=upstream_nodes)
+    def grant_while_a_daemon_is_killed(self, entry, key, delay, victim):
+        """A daemon ends while an operation runs, perhaps its own."""
+
+        async def race():
+            grant = asyncio.create_task(self._grant(entry, key))
+            await asyncio.sleep(delay)
+            if victim in self.site.nodes:
+                await self.site.kill_node(victim)
+                await self.site.start_node(victim)
+            await grant
+
+        self.run(race())
+
+    @rule(entry=nodes, key=keys, delay=st.floats(0, 0.03), victim=upstream_nodes)
+    def grant_while_a_daemon_is_paused(self, entry, key, delay, victim):
+        """The store calls of a daemon stand still for a while, then go on."""
+
+        async def race():
+            host = self.site.hosts[victim]
+            host.running.clear()
+            grant = asyncio.create_task(self._grant(entry, key))
+            await asyncio.sleep(delay)
+            await self._grant("front-1", key)
+            host.running.set()
+            await grant
+
+        self.run(race())
+
+    @rule(entry=nodes, key=keys)
+    def cancel(self, entry, key):
+        """A caller cancels an operation; after that nothing may start."""
+        path = f"/-/operations/{key}/cancel"
+        answer = self.run(self._call(entry, "POST", path))
+        if answer is not None and answer.status == 200:
+            assert answer.outcome == "not-run"
+            assert self.site.runs(key) == 0, f"{key} ran and was said not to have"
+            self.cancelled.add(key)
+
+    @rule(name=upstream_nodes)
+    def drain(self, name):
+        """A daemon drains; its successor starts."""
+
+        async def replace():
+            node = self.site.nodes[name]
+            node.start_draining()
+            await node.server.wait_until_idle()
+            await self.site.kill_node(name)
+            await self.site.start_node(name)
+
+        self.run(replace())
+
+    @rule(name=upstream_nodes)
+    def crash_upstream(self, name):
+        """An upstream ends and starts again on its port."""
+
+        async def restart():
+            standin = self.site.standins[name]
+            standin.drop_everything()
+            await asyncio.sleep(0.01)
+            await standin.listen("127.0.0.1", self.site.ports[name])
+
+        self.run(restart())
+
+    @rule(faults=st.lists(write_faults, max_size=3))
+    def write_faults(self, faults):
+        """The next writes of the table lose their answers or arrive late."""
+        self.site.table.faults[:] = faults
+
+    @rule()
+    def late_writes_arrive(self):
+        """Writes that were held take effect."""
+        self.site.table.release()
+
+    @rule(down=st.booleans())
+    def table_outage(self, down):
+        """The table goes away or returns."""
+        self.site.table.down = down
+
+    @invariant()
+    def keys_run_at_most_once(self):
+        """No operation ran twice, and none that was cancelled ran."""
+        for key in KEYS:
+            runs = self.site.runs(key)
+            assert runs <= 1, f"{key} ran {runs} times"
+            assert key not in self.cancelled or not runs, f"{key} ran after its cancel"
+
+    @invariant()
+    def refused_attempts_did_not_run(self):
+        """No request that was refused as not run reached an upstream."""
+        for attempt in self.refused_attempts:
+            runs = self.site.runs_of_attempt(attempt)
+            assert not runs, f"attempt {attempt} was refused as not run and ran"
+
+    def _next_attempt(self):
+        self.attempts += 1
+        return str(self.attempts)
+
+    async def _grant(self, entry, key):
+        attempt = self._next_attempt()
+        headers = [("Idempotency-Key", key), ("X-Attempt", attempt)]
+        answer = await self._call(entry, "POST", "/grants", b"grant", headers)
+        if answer is None:
+            return None
+        if answer.status == 200:
+            first = self.answers.setdefault(key, answer.body)
+            assert answer.body == first, f"{key}: two answers"
+        elif answer.outcome == "not-run":
+            self.refused_attempts.add(attempt)
+            if answer.json()["scope"] == "operation":
+                assert self.site.runs(key) == 0, f"{key} ran, told not-run"
+                self.cancelled.add(key)
+        return answer
+
+    async def _call(self, entry, method, target, body=b"", headers=()):
+        node = self.site.nodes.get(entry)
+        if node is None:
+            return None
+        try:
+            caller = await RawCaller.connect(node.plan.caller_address)
+        except OSError:
+            return None
+        try:
+            async with asyncio.timeout(CALL_LIMIT_S):
+                return await caller.call(method, f"/ledger{target}", headers, body)
+        except (EOFError, ConnectionError):
+            return None
+        finally:
+            await caller.close()
+
+    async def _heal(self):
+        table = self.site.table
+        table.faults.clear()
+        table.down = False
+        table.release()
+        for name in NODES:
+            self.site.hosts[name].running.set()
+
+    async def _repeat_until_recorded(self, key):
+        """Return the recorded answer; a caller who asks again must get it."""
+        for _ in range(200):
+            answer = await self._call("front-1", "GET", f"/-/operations/{key}")
+            if answer is not None and answer.status == 200:
+                return answer.body
+            if answer is not None and answer.code == "operation-unknown":
+                # The owner ended after it had answered and before the record.
+                return self.answers[key]
+            await asyncio.sleep(0.05)
+        raise AssertionError(f"{key}: no recorded answer")
--- a/goldcresthoist/tests/pathnode.py
+++ b/goldcresthoist/tests/pathnode.py
@@ -87,7 +87,9 @@
             member.instance, SHARED_KEY, self.server, self.counters
         )
         self.server.announce_load = self.link_server.announce_load
-        self.caller_server = CallerServer(self.router.handle, self.counters)
+        self.caller_server = CallerServer(
+            self.router.handle, self.counters, self.router.begin
+        )
 
     async def start(self):
         """Listen for links and callers."""
