--- a/goldcresthoist/tests/call_machine.py
+++ b/goldcresthoist/tests/call_machine.py
@@ -82,7 +82,9 @@
         host = self.hosts[name] = Host(name)
         owner = owner_name(name, self.starts[name])
         ledger = OperationLedger(self.table.client(host), self.objects.client(host))
-        records = OperationRecords(ledger, owner, self.gone.__contains__, PlainCounters())
+        records = OperationRecords(
+            ledger, owner, self.gone.__contains__, PlainCounters()
+        )
         member = next(item for item in self.members if item.instance == name)
         plan = make_plan(member, self.ports[name], self.members, self.services)
         node = self.nodes[name] = PathNode(plan, ledger=records)
