Load reports stay within the measuring budget; idle links are pinged within a rate

Change: answers and pongs carry the load only while the measuring budget of the service allows it, a state change is always told; links without a call share 20 pings a second, and the first call on an idle link pings at once.

--- a/goldcresthoist/daemon/once.py
+++ b/goldcresthoist/daemon/once.py
@@ -40,7 +40,7 @@
                 case AnswerRecorded() as recorded:
                     await _send_recorded(upstream_call, recorded)
                 case OperationRefused(code, text, retry_after_ms):
-                    load = upstream_call.server.load_report()
+                    load = upstream_call.server.load_within_budget()
                     upstream_call.call.refuse(code, text, load, retry_after_ms)
         finally:
             upstream_call.release()
@@ -100,7 +100,7 @@
 
 async def _send_recorded(upstream_call, recorded):
     call = upstream_call.call
-    load = upstream_call.server.load_report()
+    load = upstream_call.server.load_within_budget()
     body = recorded.body
     first, rest = body[:MAX_BODY_BYTES], body[MAX_BODY_BYTES:]
     call.reply(recorded.status, recorded.headers, load, first, not rest)
--- a/goldcresthoist/daemon/serving.py
+++ b/goldcresthoist/daemon/serving.py
@@ -5,7 +5,12 @@
 
 import msgspec
 
-from goldcresthoist.balance import AdmissionRefused, Draining, Saturated
+from goldcresthoist.balance import (
+    AdmissionRefused,
+    Draining,
+    ProbeBudget,
+    Saturated,
+)
 from goldcresthoist.config.model import AtMostOnce, Upload
 from goldcresthoist.daemon.kinds import KEYED
 from goldcresthoist.daemon.once import OnceRunner
@@ -15,6 +20,11 @@
 
 __all__ = ["CallServer"]
 
+# What one load report costs both daemons together, and what one call costs at least.
+REPORT_BYTES = 14
+REPORT_CPU_S = 8e-6
+CALL_FRAME_BYTES = 150
+CALL_CPU_S = 300e-6
 EXPIRY_INTERVAL_S = 0.02
 SUSPECT_RETRY_MS = 200
 
@@ -77,6 +87,8 @@
         # Calls at the upstream. Their deadlines are checked by one task, since a timer
         # for each call costs more than the check.
         self.active = set()
+        # Limits what load reports cost; made with the first configuration.
+        self.measuring = None
         self.running = 0
         self.idle = asyncio.Event()
         self.idle.set()
@@ -92,6 +104,30 @@
             report = msgspec.structs.replace(report, draining=True)
         return report
 
+    def load_within_budget(self, answer_bytes=0):
+        """Return the load to send with an answer; None when the budget is used up.
+
+        Parameters
+        ----------
+        answer_bytes : int
+            Body of the answer, which earns budget together with its frames.
+        """
+        if self.measuring is None or self.draining or self.upstream.down:
+            return self.load_report()
+        self.measuring.record_calls(answer_bytes + CALL_FRAME_BYTES, CALL_CPU_S)
+        return self._load_if_allowed()
+
+    def load_for_pong(self):
+        """Return the load to send with a pong, which earns no budget, or None."""
+        if self.measuring is None or self.draining or self.upstream.down:
+            return self.load_report()
+        return self._load_if_allowed()
+
+    def _load_if_allowed(self):
+        if not self.measuring.try_probe(REPORT_BYTES, REPORT_CPU_S):
+            return None
+        return self.load_report()
+
     def _on_upstream_change(self):
         state = "down" if self.upstream.down else "up"
         log_event("warning", "upstream changed", service=self.service, state=state)
@@ -302,13 +338,14 @@
 
     def _apply(self, configuration):
         self.configuration = configuration
+        self.measuring = ProbeBudget(configuration.measuring_share)
         if self.admission is None:
             self.admission = self.make_admission(configuration)
         else:
             self.admission.apply(configuration)
 
     def _refuse(self, call, code, message, retry_after_ms=0):
-        call.refuse(code, message, self.load_report(), retry_after_ms)
+        call.refuse(code, message, self.load_within_budget(), retry_after_ms)
 
     def _refuse_admission(self, call, error):
         match error:
--- a/goldcresthoist/daemon/upstream_call.py
+++ b/goldcresthoist/daemon/upstream_call.py
@@ -100,7 +100,7 @@
         if not body.ended or body.size > MAX_BODY_BYTES or self.call.done:
             return
         self.relayed = True
-        load = self.server.load_report()
+        load = self.server.load_within_budget(body.size)
         headers = end_to_end(answer.headers)
         self.call.reply(answer.status, headers, load, body.take(), True)
 
--- a/goldcresthoist/links/acceptor.py
+++ b/goldcresthoist/links/acceptor.py
@@ -37,8 +37,9 @@
     """Accepts links of other daemons.
 
     ``service`` has ``begin(call)``, which may start or refuse an `IncomingCall` at
-    once, ``serve(call)``, a coroutine that does the rest,
-    ``load_report()``, ``draining`` and ``add_suspect(fingerprint, count, instance)``.
+    once, ``serve(call)``, a coroutine that does the rest, ``load_report()``,
+    ``load_for_pong()``, ``draining`` and
+    ``add_suspect(fingerprint, count, instance)``.
     """
 
     def __init__(self, instance, key, service, counters):
@@ -132,7 +133,7 @@
                 call.cancel()
         elif kind is Ping:
             self.heard_at = self.loop.time()
-            self.send(Pong(message.seq, self.service.load_report()))
+            self.send(Pong(message.seq, self.service.load_for_pong()))
         elif kind is Suspect:
             self.service.add_suspect(
                 message.fingerprint, message.count, message.instance
--- a/goldcresthoist/links/frames.py
+++ b/goldcresthoist/links/frames.py
@@ -131,7 +131,7 @@
     call_id: int
     status: int
     headers: tuple[tuple[bytes, bytes], ...]
-    load: LoadReport
+    load: LoadReport | None
     body: bytes
     end: bool
 
@@ -143,7 +143,7 @@
     code: str
     message: str
     retry_after_ms: int
-    load: LoadReport
+    load: LoadReport | None
 
 
 class FailureKind:
@@ -163,7 +163,7 @@
     call_id: int
     kind: str
     message: str
-    load: LoadReport
+    load: LoadReport | None
     crash_count: int = 0
 
 
@@ -191,7 +191,7 @@
     """Answer to a ping, also sent unasked when draining starts."""
 
     seq: int
-    load: LoadReport
+    load: LoadReport | None
 
 
 Frame = (
--- a/goldcresthoist/links/opener.py
+++ b/goldcresthoist/links/opener.py
@@ -47,6 +47,7 @@
         self.next_call_id = 1
         self.ping_seq = 0
         self.unanswered_since = None
+        self.ping_waiter = None
         self.acks = {}
         self.opened = self.loop.create_future()
         self.ended = self.loop.create_future()
@@ -57,6 +58,9 @@
             raise LinkClosed("the link ended")
         call = OutgoingCall(self, self.next_call_id)
         self.next_call_id += 1
+        if not self.calls and self.ping_waiter is not None:
+            # The first call on an idle link also finds out whether the peer is alive.
+            self.ping_waiter.cancel()
         self.calls[call.call_id] = call
         self.send(make_open(call.call_id))
         return call
@@ -69,6 +73,17 @@
         self.send(Suspect(fingerprint, count, instance))
         await asyncio.shield(waiter)
 
+    async def wait_ping_due(self, interval_s):
+        """Wait until the next ping is due, or the link has ended."""
+        self.ping_waiter = self.loop.create_future()
+        waiters = (self.ended, self.ping_waiter)
+        try:
+            await asyncio.wait(
+                waiters, timeout=interval_s, return_when=asyncio.FIRST_COMPLETED
+            )
+        finally:
+            self.ping_waiter = None
+
     def ping(self):
         """Ask whether the peer is alive."""
         if self.unanswered_since is None:
@@ -87,7 +102,7 @@
             return
         kind = type(message)
         if kind is Head:
-            self.on_load(message.load)
+            self._take_load(message.load)
             if call := self.calls.get(message.call_id):
                 call.on_head(message)
         elif kind is Body:
@@ -97,17 +112,22 @@
             if call := self.calls.get(message.call_id):
                 call.on_credit(message)
         elif kind is Refuse or kind is Failed:
-            self.on_load(message.load)
+            self._take_load(message.load)
             if call := self.calls.get(message.call_id):
                 call.on_ended(message)
         elif kind is Pong:
             self.unanswered_since = None
-            self.on_load(message.load)
+            self._take_load(message.load)
         elif kind is SuspectAck:
             self._on_ack(message)
         else:
             raise CorruptFrame(f"unexpected {kind.__name__} frame")
 
+    def _take_load(self, load):
+        # The peer leaves the load out when its measuring budget is used up.
+        if load is not None:
+            self.on_load(load)
+
     def on_closed(self):
         """Fail all calls."""
         error = LinkClosed(f"the link to {self.peer} ended: {self.close_reason}")
--- a/goldcresthoist/links/pool.py
+++ b/goldcresthoist/links/pool.py
@@ -10,6 +10,10 @@
 __all__ = ["LinkPool", "PeerLink"]
 
 PING_INTERVAL_S = 0.25
+# Links without a call are pinged less often when there are many, so that a daemon that
+# calls hundreds of upstreams stays within its budget for control: at 20 a second, pings
+# and pongs take about 6 KB a second with their headers.
+IDLE_PINGS_PER_S = 20.0
 # A peer that has not answered a ping for this long gets no new work.
 UNRESPONSIVE_AFTER_S = 1.0
 # After this long the calls on the link are given up, so that reads run elsewhere.
@@ -85,8 +89,9 @@
         link = self.link
         while not link.closed:
             link.ping()
-            due = loop.time() + PING_INTERVAL_S
-            await asyncio.wait((link.ended,), timeout=PING_INTERVAL_S)
+            interval_s = self._ping_interval_s()
+            due = loop.time() + interval_s
+            await link.wait_ping_due(interval_s)
             now = loop.time()
             if now - due > PING_INTERVAL_S and link.unanswered_since is not None:
                 # This process was held up, so the answer may wait unread.
@@ -96,6 +101,11 @@
             elif link.silent_for(now) > DEAD_AFTER_S:
                 link.close("no-pong")
 
+    def _ping_interval_s(self):
+        if self.link.calls:
+            return PING_INTERVAL_S
+        return max(PING_INTERVAL_S, len(self.pool.peers) / IDLE_PINGS_PER_S)
+
     def _backoff_s(self):
         limit = min(BACKOFF_MAX_S, BACKOFF_MIN_S * 2 ** min(self.failed_attempts, 10))
         # Full jitter, so that daemons do not return to a restarted peer in step.
--- a/goldcresthoist/links/tests/builders.py
+++ b/goldcresthoist/links/tests/builders.py
@@ -27,6 +27,10 @@
         """Return a load that tests recognise."""
         return LoadReport(3, 1, 12, 2.5, self.draining)
 
+    def load_for_pong(self):
+        """Return the load as without a budget."""
+        return self.load_report()
+
     def add_suspect(self, fingerprint, count, instance):
         """Keep a suspect."""
         self.suspects.append((fingerprint, count, instance))
