--- a/goldcresthoist/daemon/serving.py
+++ b/goldcresthoist/daemon/serving.py
@@ -8,23 +8,19 @@
 from goldcresthoist.balance import (
     AdmissionRefused,
     Draining,
-    ProbeBudget,
     Saturated,
 )
 from goldcresthoist.config.model import AtMostOnce, Upload
 from goldcresthoist.daemon.kinds import KEYED
+from goldcresthoist.daemon.load_budget import LoadBudget
 from goldcresthoist.daemon.once import OnceRunner
+from goldcresthoist.daemon.suspect_turns import SuspectTurns
 from goldcresthoist.daemon.upstream_call import UpstreamCall
 from goldcresthoist.links.frames import FailureKind, LoadReport
 from goldcresthoist.telemetry import log_event
 
 __all__ = ["CallServer"]
 
-# What one load report costs both daemons together, and what one call costs at least.
-REPORT_BYTES = 14
-REPORT_CPU_S = 8e-6
-CALL_FRAME_BYTES = 150
-CALL_CPU_S = 300e-6
 EXPIRY_INTERVAL_S = 0.02
 SUSPECT_RETRY_MS = 200
 
@@ -69,9 +65,9 @@
         self.make_admission = make_admission
         self.upstream = upstream
         upstream.on_change = self._on_upstream_change
-        # Called when the load report has changed in a way that others must know.
-        self.announce_load = None
         self.suspects = suspects
+        self.turns = SuspectTurns(suspects)
+        self.load_budget = LoadBudget()
         self.once = OnceRunner(service, upstream, ledger)
         # An `UploadRunner`, set by a daemon that has an object store.
         self.uploads = None
@@ -83,12 +79,9 @@
         self.announce_load = lambda: None
         self.loop = asyncio.get_running_loop()
         self.kept = set()
-        self.suspect_waiters = []
         # Calls at the upstream. Their deadlines are checked by one task, since a timer
         # for each call costs more than the check.
         self.active = set()
-        # Limits what load reports cost; made with the first configuration.
-        self.measuring = None
         self.running = 0
         self.idle = asyncio.Event()
         self.idle.set()
@@ -112,27 +105,20 @@
         answer_bytes : int
             Body of the answer, which earns budget together with its frames.
         """
-        if self.measuring is None or self.draining or self.upstream.down:
-            return self.load_report()
-        self.measuring.record_calls(answer_bytes + CALL_FRAME_BYTES, CALL_CPU_S)
-        return self._load_if_allowed()
+        self.load_budget.earn(answer_bytes)
+        return self.load_for_pong()
 
     def load_for_pong(self):
         """Return the load to send with a pong, which earns no budget, or None."""
-        if self.measuring is None or self.draining or self.upstream.down:
+        # A change of state must be known at once, whatever it costs.
+        if self.draining or self.upstream.down or self.load_budget.allows_report():
             return self.load_report()
-        return self._load_if_allowed()
-
-    def _load_if_allowed(self):
-        if not self.measuring.try_probe(REPORT_BYTES, REPORT_CPU_S):
-            return None
-        return self.load_report()
+        return None
 
     def _on_upstream_change(self):
         state = "down" if self.upstream.down else "up"
         log_event("warning", "upstream changed", service=self.service, state=state)
-        if self.announce_load is not None:
-            self.announce_load()
+        self.announce_load()
 
     def start_draining(self):
         """Refuse new and waiting calls from now on; running calls go on."""
@@ -221,17 +207,16 @@
             return
         if self._refuse_crash_suspect(call):
             return
-        if message.hedge and self.suspects.count(message.fingerprint, now):
-            # Two copies of a suspect could end two upstreams before either is counted.
+        if self.turns.refuses_hedge(message):
             self._refuse(call, "saturated", "a crash suspect is not hedged")
             return
-        if not await self._take_suspect_turn(message, deadline):
+        if not await self.turns.take(message, deadline):
             text = "other requests that may crash the upstream run first"
             self._refuse(call, "saturated", text, SUSPECT_RETRY_MS)
             return
         if self._refuse_crash_suspect(call):
             # The turn before this one may have ended with its second crash.
-            self._end_suspect(message.fingerprint, False)
+            self.turns.end(message.fingerprint, False)
             return
         slot = None
         try:
@@ -244,7 +229,7 @@
             return
         finally:
             if slot is None:
-                self._end_suspect(message.fingerprint, False)
+                self.turns.end(message.fingerprint, False)
         self._take_up_work()
         upstream_call = UpstreamCall(call, self.upstream, rule, deadline, self)
         if isinstance(rule.kind, KEYED):
@@ -253,40 +238,17 @@
             await self._run_in_slot(upstream_call, slot)
 
     def _refuse_crash_suspect(self, call):
-        message = call.open
-        refused = self.suspects.refused(
-            message.fingerprint, monotonic(), message.crash_count
-        )
+        refused = self.turns.refuses(call.open)
         if refused:
             self._refuse(call, "crash-suspect", "the request crashed two upstreams")
         return refused
 
-    async def _take_suspect_turn(self, message, deadline):
-        """Wait until no other suspect runs; return at once for other requests."""
-        start = self.suspects.try_start
-        while not start(message.fingerprint, monotonic(), message.crash_count):
-            waiter = self.loop.create_future()
-            self.suspect_waiters.append(waiter)
-            timeout_s = deadline - monotonic()
-            done, _ = await asyncio.wait((waiter,), timeout=timeout_s)
-            if not done:
-                return False
-        return True
-
-    def _end_suspect(self, fingerprint, succeeded):
-        self.suspects.end(fingerprint, succeeded)
-        if self.suspect_waiters and self.suspects.running is None:
-            waiters, self.suspect_waiters = self.suspect_waiters, []
-            for waiter in waiters:
-                if not waiter.done():
-                    waiter.set_result(None)
-
     async def _run_in_slot(self, upstream_call, slot):
         succeeded = False
         try:
             succeeded = await self._run(upstream_call)
         finally:
-            self._end_suspect(upstream_call.call.open.fingerprint, succeeded)
+            self.turns.end(upstream_call.call.open.fingerprint, succeeded)
             now = monotonic()
             self.admission.release(slot, now)
             self._record_health(upstream_call.failed, slot.started, now)
@@ -338,7 +300,7 @@
 
     def _apply(self, configuration):
         self.configuration = configuration
-        self.measuring = ProbeBudget(configuration.measuring_share)
+        self.load_budget.apply(configuration)
         if self.admission is None:
             self.admission = self.make_admission(configuration)
         else:
--- a/goldcresthoist/daemon/upstream_call.py
+++ b/goldcresthoist/daemon/upstream_call.py
@@ -21,7 +21,8 @@
 class UpstreamCall:
     """Relays one `IncomingCall` to the upstream.
 
-    ``server`` has ``load_report()``, ``crashed(call) -> int`` and ``active``, the calls
+    ``server`` has ``load_report()``, ``load_within_budget(answer_bytes)``,
+    ``crashed(call) -> int`` and ``active``, the calls
     whose `expire` it calls when their deadline has passed.
     """
 
@@ -139,7 +140,7 @@
             first, rest = data[:MAX_BODY_BYTES], data[MAX_BODY_BYTES:]
         ended = body.exhausted
         headers = end_to_end(answer.headers)
-        load = self.server.load_report()
+        load = self.server.load_within_budget(len(data))
         call.reply(answer.status, headers, load, first, ended and not rest)
         if rest:
             await call.send_body(rest, ended)
@@ -160,7 +161,7 @@
             if await self.upstream.crashed(self.connection):
                 kind = FailureKind.CRASHED
                 crash_count = self.server.crashed(self.call)
-        load = self.server.load_report()
+        load = self.server.load_within_budget()
         self.call.fail(kind, str(error), load, crash_count)
 
     def expire(self):
