--- a/goldcresthoist/daemon/lifecycle.py
+++ b/goldcresthoist/daemon/lifecycle.py
@@ -6,9 +6,12 @@
 from contextlib import suppress
 from time import monotonic
 
+from goldcresthoist.config import Upload
 from goldcresthoist.daemon.assembly import Daemon
 from goldcresthoist.daemon.bootstrap import announce_until_written, meet_announced
 from goldcresthoist.daemon.collector import tune_collector
+from goldcresthoist.objects import ObjectsError
+from goldcresthoist.operations import UploadExpiry
 from goldcresthoist.table import TableError
 from goldcresthoist.telemetry import log_event
 
@@ -21,6 +24,7 @@
 RECORD_LIMIT_S = 10.0
 PEER_WAIT_S = 2.0
 STALE_CHECK_S = 600.0
+SWEEP_S = 1800.0
 
 
 async def serve(settings):
@@ -91,7 +95,9 @@
     daemon.status.set_state("ready")
     tune_collector()
     log_event("info", "daemon ready", instance=daemon.settings.instance)
-    await asyncio.gather(daemon.loader.refresh(), _delete_stale(daemon))
+    await asyncio.gather(
+        daemon.loader.refresh(), _delete_stale(daemon), _sweep_uploads(daemon)
+    )
 
 
 async def _delete_stale(daemon):
@@ -103,6 +109,26 @@
             )
 
 
+async def _sweep_uploads(daemon):
+    """Delete the parts of abandoned uploads of the own service now and then."""
+    service = daemon.settings.service
+    expiry = UploadExpiry(daemon.table, daemon.objects)
+    while True:
+        # All daemons of a service together sweep about once in this time.
+        daemons = max(1, len(daemon.membership.members_of(service)))
+        await asyncio.sleep(SWEEP_S * daemons * random.uniform(0.5, 1.5))
+        configuration = daemon.holder.service(service)
+        rules = configuration.work if configuration is not None else ()
+        if not any(isinstance(rule.kind, Upload) for rule in rules):
+            continue
+        try:
+            deleted = await expiry.sweep(service)
+        except (TableError, ObjectsError) as exc:
+            log_event("warning", "upload sweep broke off", error=exc)
+        else:
+            log_event("info", "uploads swept", service=service, deleted=deleted)
+
+
 async def _drain(daemon):
     """Refuse new work, let running calls end, and leave."""
     settings = daemon.settings
