--- a/goldcresthoist/callers/exchange.py
+++ b/goldcresthoist/callers/exchange.py
@@ -31,6 +31,7 @@
         "http10",
         "keep_alive",
         "remaining",
+        "request_body",
         "started",
         "status",
     )
@@ -43,6 +44,7 @@
         self.continue_due = request is not None and request.expects_continue
         # Set by the server's ``begin`` for the handler.
         self.begun = None
+        self.request_body = request.body if request is not None else None
         self.started = False
         self.status = 0
         self.finished = False
@@ -109,6 +111,9 @@
 
     def answer_with_status(self, status, refusal):
         """Answer with a refusal document under another status."""
+        if self.request_body is not None and not self.request_body.ended:
+            # The rest of the body is not read, so nothing can follow it.
+            self.keep_alive = False
         body = msgspec.json.encode(refusal)
         self.start(status, refusal.headers(len(body)), body, True)
 
--- a/goldcresthoist/callers/server.py
+++ b/goldcresthoist/callers/server.py
@@ -258,6 +258,9 @@
             if not exchange.finished:
                 # A response that is not complete must not look complete.
                 self.transport.abort()
+        if request.body.ended:
+            # A refused request leaves its body, which must not end the connection.
+            request.body.take()
         if not request.body.exhausted:
             request.body.fail(BadRequest("the answer was sent before the body ended"))
             return False
--- a/tools/fuzz.py
+++ b/tools/fuzz.py
@@ -21,6 +21,7 @@
     "goldcresthoist.config.tests.machines:ConfigurationMachine",
     "goldcresthoist.operations.tests.ledger_machine:LedgerMachine",
     "goldcresthoist.operations.tests.upload_machine:UploadMachine",
+    "goldcresthoist.tests.call_machine:CallMachine",
 )
 EXAMPLES_PER_ROUND = 200
 
