--- a/goldcresthoist/platform/gate.py
+++ b/goldcresthoist/access/gate.py
@@ -6,7 +6,7 @@
 from contextlib import asynccontextmanager
 from dataclasses import dataclass
 
-from goldcresthoist.platform.errors import CallFailed, CallNotSent
+from goldcresthoist.access.errors import CallFailed, CallNotSent
 
 __all__ = ["CallGate", "GateLimits"]
 
--- a/goldcresthoist/platform/http.py
+++ b/goldcresthoist/access/http.py
@@ -10,7 +10,7 @@
 from botocore.awsrequest import AWSRequest
 from botocore.credentials import Credentials
 
-from goldcresthoist.platform.errors import CallFailed, CallNotSent
+from goldcresthoist.access.errors import CallFailed, CallNotSent
 
 __all__ = ["HttpAnswer", "SignedHttp"]
 
--- /dev/null
+++ b/goldcresthoist/access/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the shared platform calls."""
--- a/goldcresthoist/platform/tests/test_gate.py
+++ b/goldcresthoist/access/tests/test_gate.py
@@ -4,7 +4,7 @@
 import random
 import unittest
 
-from goldcresthoist.platform import CallFailed, CallGate, CallNotSent, GateLimits
+from goldcresthoist.access import CallFailed, CallGate, CallNotSent, GateLimits
 
 
 class Clock:
--- /dev/null
+++ b/goldcresthoist/addresses.py
@@ -0,0 +1,9 @@
+"""Addresses in the form ``"ip:port"``."""
+
+__all__ = ["split_address"]
+
+
+def split_address(address):
+    """Split ``"ip:port"`` into an ``(ip, port)`` pair."""
+    host, _, port = address.rpartition(":")
+    return host.strip("[]"), int(port)
--- a/goldcresthoist/balance/__init__.py
+++ b/goldcresthoist/balance/__init__.py
@@ -16,7 +16,11 @@
 )
 from goldcresthoist.balance.health import UpstreamHealth
 from goldcresthoist.balance.hedging import HedgeTimer
+from goldcresthoist.balance.pace import PaceGauge
+from goldcresthoist.balance.paced import PacedChooser
 from goldcresthoist.balance.policy import Default, Naive, Policy, policy_named
+from goldcresthoist.balance.shared_budget import SharedRetryBudget
+from goldcresthoist.balance.slots import SlotCall, SlotQueue
 from goldcresthoist.balance.suspects import CrashSuspects, SuspectRecord
 from goldcresthoist.balance.views import Outcome, UpstreamPool, UpstreamView
 
@@ -31,11 +35,16 @@
     "HedgeTimer",
     "Naive",
     "Outcome",
+    "PaceGauge",
+    "PacedChooser",
     "Policy",
     "ProbeBudget",
     "RetryBudget",
     "Saturated",
+    "SharedRetryBudget",
     "Slot",
+    "SlotCall",
+    "SlotQueue",
     "SuspectRecord",
     "UnknownPolicy",
     "UpstreamHealth",
--- /dev/null
+++ b/goldcresthoist/balance/pace.py
@@ -0,0 +1,53 @@
+"""How fast an upstream's instance is just now."""
+
+__all__ = ["MEAN_PACE", "PaceGauge", "aged_pace"]
+
+# An upstream shares its instance with others and turns slow several times a second. A
+# figure that is this old counts half; the rest is the long-run mean.
+PACE_HALF_LIFE_S = 0.15
+# Mean where nothing is known: 7 times slower for a quarter of the time.
+MEAN_PACE = 2.5
+MEAN_WEIGHT = 0.02
+LARGEST_PACE = 100.0
+
+
+def aged_pace(pace, age_s, mean):
+    """Return the pace to expect when it was ``pace`` some seconds ago."""
+    if pace <= 0.0:
+        return mean
+    weight = PACE_HALF_LIFE_S / (PACE_HALF_LIFE_S + max(0.0, age_s))
+    return mean + (pace - mean) * weight
+
+
+class PaceGauge:
+    """The last figure that the own upstream gave, and their mean."""
+
+    __slots__ = ("known", "mean", "pace", "pace_time")
+
+    def __init__(self):
+        self.pace = 0.0
+        self.pace_time = 0.0
+        self.mean = MEAN_PACE
+        self.known = False
+
+    def record(self, pace, now):
+        """Take over a figure; 0 says nothing."""
+        if pace <= 0.0:
+            return
+        pace = min(pace, LARGEST_PACE)
+        if not self.known:
+            self.known = True
+            self.mean = min(MEAN_PACE, pace)
+        self.pace = pace
+        self.pace_time = now
+        self.mean += MEAN_WEIGHT * (pace - self.mean)
+
+    def expected(self, now):
+        """Return the pace to expect for work that starts now."""
+        if not self.known:
+            return 1.0
+        return aged_pace(self.pace, now - self.pace_time, self.mean)
+
+    def is_slow(self, now, ratio, within_s):
+        """Return whether a figure of the last ``within_s`` seconds reaches it."""
+        return self.pace >= ratio and now - self.pace_time <= within_s
--- /dev/null
+++ b/goldcresthoist/balance/paced.py
@@ -0,0 +1,99 @@
+"""Choice of the upstream that is expected to answer first."""
+
+from goldcresthoist.balance._outliers import may_try
+from goldcresthoist.balance.chooser import Chooser
+from goldcresthoist.balance.pace import MEAN_PACE, aged_pace
+from goldcresthoist.balance.policy import Default
+from goldcresthoist.balance.views import Outcome
+
+__all__ = ["PacedChooser"]
+
+# Candidates that are compared in each group; more would cost time and make all daemons
+# choose the same upstream at once.
+SAMPLE = 6
+# Cost of a farther group, in seconds: what its longer way and its bytes are worth.
+TIER_COST_S = (0.0, 0.015, 0.15)
+BYTE_COST_S = (0.0, 2.5e-6, 2.5e-5)
+# Near its last slots an upstream may turn slower.
+FULL_SHARE = 0.8
+FULL_FACTOR = 1.7
+# Among equal upstreams the emptier one is chosen.
+SPREAD_SHARE = 0.5
+JITTER = 0.1
+FAILURE_WEIGHT = 0.15
+FAILURE_FADE_S = 4.0
+
+
+class PacedChooser(Chooser):
+    """Compares upstreams by the time in which each is expected to answer."""
+
+    def __init__(self, policy=None, rng=None):
+        super().__init__(policy or Default(), rng)
+        self.mean_pace = MEAN_PACE
+
+    def choose(self, views, rule, now, exclude=(), size=0, reachable=None):
+        """Return the best view for a call, or None.
+
+        Parameters
+        ----------
+        size : int
+            Bytes of the request body, which are dear between failure domains.
+        reachable : callable, optional
+            ``reachable(view)`` tells whether the daemon there can be called.
+        """
+        best, best_cost = None, 0.0
+        for tier, base_s, byte_s in zip(views.tiers, TIER_COST_S, BYTE_COST_S):
+            for view in self._sample(tier):
+                if view.draining or view in exclude:
+                    continue
+                if view.ejections and not may_try(view, rule, now):
+                    continue
+                if reachable is not None and not reachable(view):
+                    continue
+                cost = self.expected_s(view, rule, now) + base_s + byte_s * size
+                cost *= 1.0 + JITTER * self.random()
+                if best is None or cost < best_cost:
+                    best, best_cost = view, cost
+        return best
+
+    def expected_s(self, view, rule, now):
+        """Return the expected time to an answer of a view, in seconds."""
+        pace = aged_pace(view.pace, now - view.pace_time, self.mean_pace)
+        load = self.known_load(view, now) + 1.0
+        slots = max(1, view.slots)
+        share = load / slots
+        work_s = rule.usual_s * pace
+        if share > FULL_SHARE:
+            work_s *= FULL_FACTOR
+        work_s *= 1.0 + SPREAD_SHARE * min(share, 1.0)
+        if load > slots:
+            work_s += (load - slots) * rule.usual_s * pace / slots
+        fade = FAILURE_FADE_S / (FAILURE_FADE_S + max(0.0, now - view.failed_at))
+        return work_s + view.failure_share * fade * rule.longest_s
+
+    def record_load(self, view, load, now):
+        """Take over a load report with the pace in it."""
+        super().record_load(view, load, now)
+        if load.pace > 0.0:
+            at = view.report_age_from - load.pace_age_ms / 1000.0
+            if at >= view.pace_time or view.pace <= 0.0:
+                view.pace = load.pace
+                view.pace_time = at
+                self.mean_pace += 0.01 * (load.pace - self.mean_pace)
+
+    def record_end(self, view, outcome, latency_s, load, now, rule=None):
+        """Count the end of a call, and how often calls fail there."""
+        super().record_end(view, outcome, latency_s, load, now, rule)
+        if outcome is Outcome.SUCCEEDED:
+            view.failure_share -= FAILURE_WEIGHT * view.failure_share
+        elif outcome is Outcome.FAILED:
+            view.failure_share += FAILURE_WEIGHT * (1.0 - view.failure_share)
+
+    def _sample(self, tier):
+        count = len(tier)
+        if count <= SAMPLE:
+            return tier
+        start = int(self.random() * count)
+        step = 1 + int(self.random() * (count - 1))
+        found = [tier[(start + step * place) % count] for place in range(SAMPLE)]
+        return dict.fromkeys(found)
--- /dev/null
+++ b/goldcresthoist/balance/shared_budget.py
@@ -0,0 +1,56 @@
+"""This daemon's part of a retry budget that all daemons share."""
+
+__all__ = ["SharedRetryBudget"]
+
+# Part of the shared limit that is used; the calls that a repeated call makes in turn
+# count as repeats at other services, unseen by this daemon.
+USED_SHARE = 0.55
+USED_RESERVE = 0.7
+
+
+class SharedRetryBudget:
+    """Token bucket that keeps the sum over all daemons within the shared limit.
+
+    Each daemon earns by the requests that it has seen itself. The reserve is divided by
+    the number of daemons, so that all of them may use theirs at the same moment.
+
+    Parameters
+    ----------
+    share : float
+        Retries allowed for each request, over all daemons.
+    reserve : float
+        Retries allowed besides, in each window of the limit.
+    """
+
+    def __init__(self, share, reserve):
+        self.share = USED_SHARE * share
+        self.reserve = USED_RESERVE * reserve
+        self.daemons = 1
+        self.tokens = None
+
+    @property
+    def most(self):
+        """The most tokens that are kept."""
+        return max(1.0, self.reserve / max(1, self.daemons))
+
+    def set_daemons(self, count):
+        """Set how many daemons share the limit."""
+        self.daemons = count
+        if self.tokens is not None:
+            self.tokens = min(self.tokens, self.most)
+
+    def record_request(self):
+        """Earn by one request of a caller."""
+        self.tokens = min(self.most, self.available() + self.share)
+
+    def available(self):
+        """Return the tokens at hand."""
+        return self.most if self.tokens is None else self.tokens
+
+    def take(self, keep=0.0):
+        """Take one token, unless fewer than ``keep`` would be left; tell whether."""
+        tokens = self.available()
+        if tokens - 1.0 < keep:
+            return False
+        self.tokens = tokens - 1.0
+        return True
--- /dev/null
+++ b/goldcresthoist/balance/slots.py
@@ -0,0 +1,218 @@
+"""Slots of the own upstream, given by priority, and the calls that wait for them."""
+
+import asyncio
+from dataclasses import dataclass
+
+from goldcresthoist.balance.errors import Draining, Saturated
+from goldcresthoist.balance.pace import PaceGauge
+
+__all__ = ["SlotCall", "SlotQueue"]
+
+SERVICE_WEIGHT = 0.1
+# Before the first answer: the usual time of work as a share of its aim.
+FIRST_SERVICE_SHARE = 0.3
+# One straggler must not make all work look slow.
+SAMPLE_LIMIT = 4.0
+# Above this share of its slots an upstream may turn slower, so a call that can go
+# elsewhere is refused there.
+FULL_SHARE = 0.8
+# A slow figure that is this old no longer turns calls away that can go elsewhere.
+SLOW_RATIO = 2.0
+SLOW_WITHIN_S = 0.12
+# A call is known to be late only when far less than its usual time is left.
+HOPELESS_SHARE = 0.5
+QUEUE_PER_SLOT = 2
+RETRY_FLOOR_S = 0.05
+
+
+@dataclass(frozen=True, slots=True)
+class SlotCall:
+    """What the queue must know of a call. Times are monotonic seconds."""
+
+    work: str
+    priority: int
+    deadline: float
+    # The answer has its full value until then.
+    aim: float
+    # Other upstreams that the call could still be offered to.
+    others: int
+
+
+class _Waiter:
+    __slots__ = ("call", "future", "order")
+
+    def __init__(self, call, future, order):
+        self.call = call
+        self.future = future
+        self.order = order
+
+
+class SlotQueue:
+    """Gives out slots; refuses at once what would come too late.
+
+    Waiting calls get slots by priority, then by age. One that can no longer be
+    answered within its aim goes behind those that can.
+
+    Attributes
+    ----------
+    slots : int
+        Calls that the upstream runs at the same time.
+    pace : PaceGauge
+    """
+
+    def __init__(self, slots=1):
+        self.slots = slots
+        self.pace = PaceGauge()
+        self.running = 0
+        self.waiting = []
+        self.service_s = {}
+        self.draining = False
+        self.held_until = 0.0
+        self.arrivals = 0
+
+    def mean_service_s(self):
+        """Return the usual time of a call at usual pace, over all work."""
+        if not self.service_s:
+            return 0.1
+        return sum(self.service_s.values()) / len(self.service_s)
+
+    def usual_s(self, call, now):
+        """Return the time that a call usually takes at usual pace."""
+        known = self.service_s.get(call.work)
+        if known is None:
+            return max(0.005, FIRST_SERVICE_SHARE * (call.aim - now))
+        return known
+
+    def expected_wait_s(self, priority, now):
+        """Return the expected wait of a new call behind those that go before it."""
+        before = sum(1 for item in self.waiting if item.call.priority <= priority)
+        free = self.slots - self.running
+        if before < free:
+            return 0.0
+        pace = self.pace.expected(now)
+        return (before - free + 1) * self.mean_service_s() * pace / max(1, self.slots)
+
+    def admit(self, call, now):
+        """Return None when the call got a slot, else a future that it waits for.
+
+        Raises
+        ------
+        Draining, Saturated
+            The call gets no slot and none is held for it.
+        """
+        if self.draining:
+            raise Draining
+        usual_s = self.usual_s(call, now)
+        if now + HOPELESS_SHARE * usual_s > call.deadline:
+            raise Saturated(RETRY_FLOOR_S)
+        limit = self.slots
+        if call.others > 0:
+            limit = max(1, int(FULL_SHARE * self.slots))
+            if self._slow_for(call, usual_s, now):
+                raise Saturated(RETRY_FLOOR_S)
+        held = now < self.held_until and self.running
+        if self.running < limit and not self.waiting and not held:
+            self.running += 1
+            return None
+        wait_s = self.expected_wait_s(call.priority, now)
+        end = now + wait_s + usual_s * self.pace.expected(now)
+        crowded = len(self.waiting) >= QUEUE_PER_SLOT * self.slots
+        if call.others > 0 or crowded or end > min(call.aim, call.deadline):
+            if not self._displace(call):
+                raise Saturated(max(RETRY_FLOOR_S, wait_s))
+        return self._enqueue(call)
+
+    def release(self, now):
+        """Give a slot back and start the calls that wait for it."""
+        self.running -= 1
+        self.fill(now)
+
+    def record(self, work, taken_s, pace_before, now):
+        """Count the time that a call took, between two figures of the pace."""
+        pace = max(0.2, (pace_before + self.pace.expected(now)) / 2.0)
+        sample = taken_s / pace
+        known = self.service_s.get(work)
+        if known is None:
+            self.service_s[work] = sample
+            return
+        sample = min(sample, SAMPLE_LIMIT * known)
+        self.service_s[work] = known + SERVICE_WEIGHT * (sample - known)
+
+    def hold(self, until):
+        """Start no call until then: the upstream itself has said that it is full."""
+        self.held_until = max(self.held_until, until)
+
+    def fill(self, now):
+        """Start waiting calls while there are free slots."""
+        while self.waiting and self.running < self.slots:
+            if now < self.held_until and self.running:
+                return
+            waiter = self._next(now)
+            self.waiting.remove(waiter)
+            if waiter.future.done():
+                continue
+            self.running += 1
+            waiter.future.set_result(None)
+
+    def expire(self, now):
+        """Refuse waiting calls whose answer would come too late."""
+        for waiter in tuple(self.waiting):
+            call = waiter.call
+            usual_s = self.usual_s(call, now)
+            if (
+                now + usual_s > call.deadline
+                or now + HOPELESS_SHARE * usual_s > call.aim
+            ):
+                self._fail(waiter, Saturated(RETRY_FLOOR_S))
+        self.fill(now)
+
+    def drain(self):
+        """Refuse waiting and new calls."""
+        self.draining = True
+        for waiter in tuple(self.waiting):
+            self._fail(waiter, Draining())
+
+    def abandon(self, future):
+        """Forget a call that no longer waits."""
+        for waiter in self.waiting:
+            if waiter.future is future:
+                self.waiting.remove(waiter)
+                return
+
+    def _slow_for(self, call, usual_s, now):
+        """Return whether the slow upstream would miss the aim that others may keep."""
+        if not self.pace.is_slow(now, SLOW_RATIO, SLOW_WITHIN_S):
+            return False
+        left_s = min(call.aim, call.deadline) - now
+        return (
+            left_s > 0 and usual_s * self.pace.expected(now) > HOPELESS_SHARE * left_s
+        )
+
+    def _enqueue(self, call):
+        self.arrivals += 1
+        future = asyncio.get_running_loop().create_future()
+        self.waiting.append(_Waiter(call, future, self.arrivals))
+        return future
+
+    def _next(self, now):
+        def order(waiter):
+            late = now + self.usual_s(waiter.call, now) > waiter.call.aim
+            return (late, waiter.call.priority, waiter.order)
+
+        return min(self.waiting, key=order)
+
+    def _displace(self, call):
+        """Refuse the newest waiting call of less priority, if there is one."""
+        if call.others > 0:
+            return False
+        less = [item for item in self.waiting if item.call.priority > call.priority]
+        if not less:
+            return False
+        victim = max(less, key=lambda item: (item.call.priority, item.order))
+        self._fail(victim, Saturated(RETRY_FLOOR_S))
+        return True
+
+    def _fail(self, waiter, error):
+        self.waiting.remove(waiter)
+        if not waiter.future.done():
+            waiter.future.set_exception(error)
--- a/goldcresthoist/balance/views.py
+++ b/goldcresthoist/balance/views.py
@@ -30,6 +30,10 @@
         When the last report was made, as far as its lateness is known.
     slowness : float
         Moving average of latency divided by the usual time of the work.
+    pace, pace_time : float
+        How many times longer than usual work took there, 0 when not known, and when.
+    failure_share : float
+        Moving average of the share of own calls that failed there.
     ejections : int
         Consecutive ejections; 0 when the upstream is in use.
     """
@@ -44,10 +48,13 @@
         "ejections",
         "failed_at",
         "failure_domain",
+        "failure_share",
         "first_seen",
         "in_flight",
         "instance",
         "others",
+        "pace",
+        "pace_time",
         "pool",
         "region",
         "report",
@@ -83,6 +90,9 @@
         self.trial_for_all_from = 0.0
         self.trial_running = False
         self.draining = False
+        self.pace = 0.0
+        self.pace_time = now
+        self.failure_share = 0.0
         self.pool = None
 
     def __repr__(self):
--- a/goldcresthoist/callers/request.py
+++ b/goldcresthoist/callers/request.py
@@ -61,7 +61,8 @@
     ``on_consumed(size)`` when body bytes were consumed.
     """
 
-    def __init__(self, on_request, on_consumed):
+    def __init__(self, on_request, on_consumed, max_header_bytes=MAX_HEADER_BYTES):
+        self.max_header_bytes = max_header_bytes
         self.on_request = on_request
         self.on_consumed = on_consumed
         self.parser = httptools.HttpRequestParser(self)
@@ -92,8 +93,8 @@
             # The parser reports a header only when it is complete, so unfinished
             # ones are counted by what was fed since the head began.
             self.fed_bytes += len(data)
-            if self.fed_bytes > 2 * MAX_HEADER_BYTES:
-                raise HeadersTooLarge(f"headers exceed {MAX_HEADER_BYTES} bytes")
+            if self.fed_bytes > 2 * self.max_header_bytes:
+                raise HeadersTooLarge(f"headers exceed {self.max_header_bytes} bytes")
 
     def on_message_begin(self):
         """Start a request."""
@@ -126,9 +127,10 @@
         """Check the head and hand the request over."""
         self.in_head = False
         request = self.request
-        if self.head_bytes > MAX_HEADER_BYTES:
+        limit = self.max_header_bytes
+        if self.head_bytes > limit:
             raise HeadersTooLarge(
-                f"headers of {self.head_bytes} bytes exceed {MAX_HEADER_BYTES} bytes"
+                f"headers of {self.head_bytes} bytes exceed {limit} bytes"
             )
         if self.parser.should_upgrade():
             # The parser takes what follows for another protocol, so the body of the
--- a/goldcresthoist/callers/server.py
+++ b/goldcresthoist/callers/server.py
@@ -6,6 +6,7 @@
 from goldcresthoist.callers.errors import BadRequest, CallerError, CallerGone
 from goldcresthoist.callers.exchange import Exchange
 from goldcresthoist.callers.request import RequestParser
+from goldcresthoist.http_fields import MAX_HEADER_BYTES
 
 __all__ = ["CallerConnection", "CallerServer"]
 
@@ -14,6 +15,8 @@
 SWEEP_INTERVAL_S = 5.0
 MAX_UNREAD_BODY_BYTES = 128 * 1024
 MAX_PIPELINED = 16
+# Time in which a caller may finish a body after it got its answer.
+DISCARD_LIMIT_S = 2.0
 
 
 class CallerServer:
@@ -40,6 +43,9 @@
         self.draining = False
         self.listener = None
         self.sweeper = None
+        self.max_header_bytes = MAX_HEADER_BYTES
+        self.head_timeout_s = HEAD_TIMEOUT_S
+        self.idle_timeout_s = IDLE_TIMEOUT_S
 
     async def listen(self, host, port):
         """Start to accept connections."""
@@ -89,7 +95,9 @@
         self.server = server
         self.loop = asyncio.get_running_loop()
         self.transport = None
-        self.parser = RequestParser(self._on_request, self._on_consumed)
+        self.parser = RequestParser(
+            self._on_request, self._on_consumed, server.max_header_bytes
+        )
         self.requests = deque()
         self.current = None
         self.begun = None
@@ -172,7 +180,9 @@
         """Close a connection that sent no complete head for too long."""
         if self.current is not None or self.requests:
             return
-        limit = HEAD_TIMEOUT_S if self.parser.in_head else IDLE_TIMEOUT_S
+        server = self.server
+        in_head = self.parser.in_head
+        limit = server.head_timeout_s if in_head else server.idle_timeout_s
         if now - self.waiting_since > limit:
             self.server.counters.add("caller_connections_timed_out")
             self.transport.abort()
@@ -262,13 +272,26 @@
             # A refused request leaves its body, which must not end the connection.
             request.body.take()
         if not request.body.exhausted:
-            request.body.fail(BadRequest("the answer was sent before the body ended"))
+            await self._discard_rest(request.body)
             return False
         if self.write_paused:
             # A caller that sends requests and reads no answers must not fill memory.
             await self.drain()
         return exchange.keep_alive
 
+    async def _discard_rest(self, body):
+        """Read what the caller still sends of a body that nobody wants.
+
+        A connection that is closed with unread bytes is reset, which may destroy the
+        answer before the caller has read it.
+        """
+        try:
+            async with asyncio.timeout(DISCARD_LIMIT_S):
+                while await body.read():
+                    pass
+        except (TimeoutError, CallerError):
+            body.fail(BadRequest("the answer was sent before the body ended"))
+
     def _refuse_and_close(self, error):
         """Answer bytes that are not a request."""
         if self.closed or self.transport.is_closing():
--- a/goldcresthoist/config/__init__.py
+++ b/goldcresthoist/config/__init__.py
@@ -1,52 +1,35 @@
 """Settings, questionnaire and generated configuration."""
 
-from goldcresthoist.config.differences import differences
-from goldcresthoist.config.errors import (
-    ConfigError,
-    ConfigurationConflict,
-    InvalidAnswer,
-    InvalidSetting,
-)
-from goldcresthoist.config.generation import generate
-from goldcresthoist.config.holder import (
-    ConfigurationHolder,
-    InForce,
-    InvalidContent,
-    content_digest,
-    decode_content,
-)
-from goldcresthoist.config.model import (
-    AtMostOnce,
-    Read,
-    Repeatable,
-    ServiceConfiguration,
-    TeamConfiguration,
-    Upload,
-    WorkRule,
-)
-from goldcresthoist.config.questionnaire import Questionnaire
-from goldcresthoist.config.settings import Settings, split_address
+from goldcresthoist._lazy import lazy_members
 
-__all__ = [
-    "AtMostOnce",
-    "ConfigError",
-    "ConfigurationConflict",
-    "ConfigurationHolder",
-    "InForce",
-    "InvalidAnswer",
-    "InvalidContent",
-    "InvalidSetting",
-    "Questionnaire",
-    "Read",
-    "Repeatable",
-    "ServiceConfiguration",
-    "Settings",
-    "TeamConfiguration",
-    "Upload",
-    "WorkRule",
-    "differences",
-    "generate",
-    "content_digest",
-    "decode_content",
-    "split_address",
-]
+_MODULES = {
+    "errors": (
+        "ConfigError",
+        "ConfigurationConflict",
+        "InvalidAnswer",
+        "InvalidSetting",
+    ),
+    "generation": ("generate",),
+    "holder": (
+        "ConfigurationHolder",
+        "InForce",
+        "InvalidContent",
+        "content_digest",
+        "decode_content",
+    ),
+    "model": (
+        "AtMostOnce",
+        "Read",
+        "Repeatable",
+        "ServiceConfiguration",
+        "TeamConfiguration",
+        "Upload",
+        "WorkRule",
+    ),
+    "questionnaire": ("Questionnaire",),
+    "settings": ("Settings", "split_address"),
+}
+
+__all__ = [name for names in _MODULES.values() for name in names]  # noqa: PLE0605
+
+__getattr__ = lazy_members(__name__, _MODULES)
--- a/goldcresthoist/config/settings.py
+++ b/goldcresthoist/config/settings.py
@@ -7,6 +7,7 @@
 import msgspec
 from msgspec import Meta
 
+from goldcresthoist.addresses import split_address
 from goldcresthoist.config._checking import convert, load_yaml
 from goldcresthoist.config.errors import InvalidSetting
 
@@ -29,12 +30,6 @@
 )
 
 
-def split_address(address):
-    """Split ``"ip:port"`` into an ``(ip, port)`` pair."""
-    host, _, port = address.rpartition(":")
-    return host.strip("[]"), int(port)
-
-
 class Settings(msgspec.Struct, frozen=True, forbid_unknown_fields=True, kw_only=True):
     """What one daemon is told when it starts.
 
--- a/goldcresthoist/config/store.py
+++ b/goldcresthoist/config/store.py
@@ -7,6 +7,7 @@
 
 import msgspec
 
+from goldcresthoist.access import Backoff
 from goldcresthoist.config._owners import owner_puts
 from goldcresthoist.config.errors import (
     ConfigurationConflict,
@@ -28,7 +29,6 @@
     version_puts,
 )
 from goldcresthoist.objects import ObjectClient, ObjectMissing, ObjectsUnavailable
-from goldcresthoist.platform import Backoff
 from goldcresthoist.table import (
     Applied,
     NotSent,
--- a/goldcresthoist/daemon/attempt.py
+++ b/goldcresthoist/daemon/attempt.py
@@ -5,7 +5,7 @@
 from goldcresthoist.balance import Outcome
 from goldcresthoist.callers import CallerError
 from goldcresthoist.links import CallFailed, LinkClosed, LinkError, LocalCall
-from goldcresthoist.links.frames import Failed, FailureKind, Head, Open
+from goldcresthoist.links.frames import Failed, FailureKind, Head
 
 __all__ = ["Attempt"]
 
@@ -38,10 +38,12 @@
         self.latency_s = 0.0
         self.started_at = now = monotonic()
         if self.local:
-            self.call = LocalCall(router.server, self._open_message(0, now))
+            self.call = LocalCall(router.server, routed.open_message(0, now, hedge))
         else:
             # May raise LinkClosed, so nothing is counted before.
-            self.call = peer.link.call(lambda call_id: self._open_message(call_id, now))
+            self.call = peer.link.call(
+                lambda call_id: routed.open_message(call_id, now, hedge)
+            )
         self.chooser.record_start(view, now)
         if not routed.body_complete:
             self.sender = routed.loop.create_task(self._send_rest())
@@ -79,24 +81,6 @@
         self.call.cancel()
         self.end(Outcome.CANCELLED, None)
 
-    def _open_message(self, call_id, now):
-        routed = self.routed
-        return Open(
-            call_id,
-            routed.route.name,
-            routed.rule.name,
-            routed.request.method,
-            routed.target,
-            routed.headers,
-            max(0, int((routed.deadline - now) * 1e6)),
-            routed.key,
-            routed.fingerprint,
-            routed.crash_count,
-            routed.prefix,
-            routed.body_complete,
-            self.hedge,
-        )
-
     async def _send_rest(self):
         body = self.routed.request.body
         try:
--- a/goldcresthoist/daemon/routed_call.py
+++ b/goldcresthoist/daemon/routed_call.py
@@ -18,7 +18,7 @@
 from goldcresthoist.daemon.kinds import FAILED_STATUSES, REPEATABLE
 from goldcresthoist.daemon.relay import finish_relay, relay_answer, start_relay
 from goldcresthoist.links import LinkClosed
-from goldcresthoist.links.frames import Failed, FailureKind, Head, Refuse
+from goldcresthoist.links.frames import Failed, FailureKind, Head, Open, Refuse
 
 __all__ = ["PREFIX_BYTES", "RoutedCall"]
 
@@ -83,6 +83,24 @@
         # Whether an upstream may have run the request.
         self.started = False
 
+    def open_message(self, call_id, now, hedge):
+        """Return the `Open` message of one attempt."""
+        return Open(
+            call_id,
+            self.route.name,
+            self.rule.name,
+            self.request.method,
+            self.target,
+            self.headers,
+            max(0, int((self.deadline - now) * 1e6)),
+            self.key,
+            self.fingerprint,
+            self.crash_count,
+            self.prefix,
+            self.body_complete,
+            hedge,
+        )
+
     def take_whole_body(self):
         """Take a body that is here as a whole; it is kept for retries."""
         if not self.body_complete:
--- /dev/null
+++ b/goldcresthoist/fleet/channel.py
@@ -0,0 +1,81 @@
+"""Datagrams between the daemons of a fleet."""
+
+import asyncio
+
+from goldcresthoist.fleet.messages import Datagram
+from goldcresthoist.gossip.envelope import Sealer
+from goldcresthoist.gossip.errors import DatagramRejected
+
+__all__ = ["FleetChannel"]
+
+
+class FleetChannel(asyncio.DatagramProtocol):
+    """Sends and receives sealed datagrams; one that is not valid is counted.
+
+    Parameters
+    ----------
+    ip : str
+        Own address.
+    port : int
+        The same at every daemon.
+    key : bytes
+        Key of the fleet.
+    counters
+        Has ``add(name, amount=1, **labels)``.
+
+    Attributes
+    ----------
+    handlers : dict
+        ``handler(message, sender_ip)`` by type of message.
+    """
+
+    def __init__(self, ip, port, key, counters):
+        self.ip = ip
+        self.port = port
+        self.sealer = Sealer(key, Datagram)
+        self.counters = counters
+        self.handlers = {}
+        self.transport = None
+
+    async def listen(self):
+        """Open the socket."""
+        loop = asyncio.get_running_loop()
+        await loop.create_datagram_endpoint(
+            lambda: self, local_addr=(self.ip, self.port)
+        )
+
+    def connection_made(self, transport):
+        """Remember the transport."""
+        self.transport = transport
+
+    def datagram_received(self, data, addr):
+        """Open a datagram and pass it on."""
+        try:
+            message = self.sealer.open(data, self._name(self.ip))
+        except DatagramRejected:
+            self.counters.add("datagrams_dropped")
+            return
+        handler = self.handlers.get(type(message))
+        if handler is not None:
+            handler(message, addr[0])
+
+    def error_received(self, exc):
+        """Count what the network reports; the peer may be gone."""
+        self.counters.add("datagrams_undelivered")
+
+    def send(self, message, ips):
+        """Send a message to daemons by their addresses."""
+        if self.transport is None or self.transport.is_closing():
+            return
+        for ip in ips:
+            data = self.sealer.seal(message, self._name(ip))
+            self.counters.add("gossip_bytes", len(data), direction="out")
+            self.transport.sendto(data, (ip, self.port))
+
+    def close(self):
+        """Close the socket."""
+        if self.transport is not None:
+            self.transport.close()
+
+    def _name(self, ip):
+        return f"{ip}:{self.port}"
--- a/goldcresthoist/gossip/__init__.py
+++ b/goldcresthoist/gossip/__init__.py
@@ -1,18 +1,16 @@
 """Membership of daemons by gossip over UDP."""
 
-from goldcresthoist.gossip.errors import GossipError
-from goldcresthoist.gossip.member import Member, MemberState
-from goldcresthoist.gossip.membership import Membership
-from goldcresthoist.gossip.messages import Version
-from goldcresthoist.gossip.options import GossipOptions
-from goldcresthoist.gossip.roster import DomainCount
+from goldcresthoist._lazy import lazy_members
 
-__all__ = [
-    "DomainCount",
-    "GossipError",
-    "GossipOptions",
-    "Member",
-    "MemberState",
-    "Membership",
-    "Version",
-]
+_MODULES = {
+    "errors": ("GossipError",),
+    "member": ("Member", "MemberState"),
+    "membership": ("Membership",),
+    "messages": ("Version",),
+    "options": ("GossipOptions",),
+    "roster": ("DomainCount",),
+}
+
+__all__ = [name for names in _MODULES.values() for name in names]  # noqa: PLE0605
+
+__getattr__ = lazy_members(__name__, _MODULES)
--- a/goldcresthoist/gossip/envelope.py
+++ b/goldcresthoist/gossip/envelope.py
@@ -21,15 +21,16 @@
     """Encodes and authenticates datagrams with the key that all daemons share.
 
     The MAC also covers the destination's address, so a datagram that was recorded on
-    its way to one daemon is not accepted by another.
+    its way to one daemon is not accepted by another. ``packet_type`` is the type of the
+    messages, `Packet` by default.
     """
 
-    def __init__(self, shared_key):
+    def __init__(self, shared_key, packet_type=Packet):
         self.key = hashlib.blake2b(
             shared_key, digest_size=32, person=b"goldcrest-gossip"
         ).digest()
         self.encoder = msgspec.msgpack.Encoder()
-        self.decoder = msgspec.msgpack.Decoder(Packet)
+        self.decoder = msgspec.msgpack.Decoder(packet_type)
 
     def seal(self, packet, destination):
         """Return the datagram for a packet.
--- a/goldcresthoist/links/acceptor.py
+++ b/goldcresthoist/links/acceptor.py
@@ -10,6 +10,7 @@
     Cancel,
     Challenge,
     Credit,
+    FetchConfiguration,
     Hello,
     Open,
     Ping,
@@ -38,8 +39,8 @@
 
     ``service`` has ``begin(call)``, which may start or refuse an `IncomingCall` at
     once, ``serve(call)``, a coroutine that does the rest, ``load_report()``,
-    ``load_for_pong()``, ``draining`` and
-    ``add_suspect(fingerprint, count, instance)``.
+    ``load_for_pong()``, ``draining``, ``add_suspect(fingerprint, count, instance)``
+    and, where daemons pass the configuration on, ``configuration_content()``.
     """
 
     def __init__(self, instance, key, service, counters):
@@ -48,6 +49,8 @@
         self.service = service
         service.announce_load = self.announce_load
         self.counters = counters
+        # Called with the name of each daemon that opened a link.
+        self.on_peer = None
         self.links = set()
         self.listener = None
         self.sweeper = None
@@ -139,6 +142,8 @@
                 message.fingerprint, message.count, message.instance
             )
             self.send(SuspectAck(message.fingerprint))
+        elif kind is FetchConfiguration:
+            self.send(self.service.configuration_content())
         else:
             raise CorruptFrame(f"unexpected {kind.__name__} frame")
 
@@ -159,6 +164,8 @@
         own = self.server.instance
         mac = welcome_mac(key, self.challenge, message.nonce, self.peer, own)
         self.mark_ready()
+        if self.server.on_peer is not None:
+            self.server.on_peer(self.peer)
         self.send(Welcome(own, mac))
         self.send(Pong(0, self.service.load_report()))
 
--- a/goldcresthoist/links/frames.py
+++ b/goldcresthoist/links/frames.py
@@ -17,9 +17,11 @@
     "Body",
     "Cancel",
     "Challenge",
+    "ConfigurationContent",
     "Credit",
     "Failed",
     "FailureKind",
+    "FetchConfiguration",
     "FrameDecoder",
     "Head",
     "Hello",
@@ -48,7 +50,8 @@
     ``service_ms`` is the moving average of the time that one call takes. ``at_ms`` is
     when the report was made, on the sender's monotonic clock in milliseconds modulo
     65,536; -1 when it is not known. ``failing`` tells that recent calls of everybody
-    failed at the upstream.
+    failed at the upstream. ``pace`` is how many times longer than usual work takes
+    there, 0 when it is not known, and ``pace_age_ms`` how old that figure is.
     """
 
     in_flight: int
@@ -58,6 +61,8 @@
     draining: bool = False
     at_ms: int = -1
     failing: bool = False
+    pace: float = 0.0
+    pace_age_ms: int = 0
 
 
 class Challenge(msgspec.Struct, frozen=True, array_like=True, tag=1):
@@ -87,6 +92,10 @@
     ``time_left_us`` is relative since the clocks of two instances differ; the receiver
     turns it into a deadline at once. More body bytes than ``body`` may be sent only
     when the receiver has granted credit, which it does when the call holds a slot.
+    ``priority`` is the rank of the call under overload, 0 first. ``aim_us`` is the time
+    left in which its answer has its full value, and ``others`` tells how many other
+    upstreams the sender could still offer the call to. Work that is not ``repeatable``
+    is brought to its end even when its caller leaves.
     """
 
     call_id: int
@@ -102,6 +111,10 @@
     body: bytes
     end: bool
     hedge: bool = False
+    priority: int = 0
+    aim_us: int = 0
+    others: int = 0
+    repeatable: bool = False
 
 
 class Body(msgspec.Struct, frozen=True, array_like=True, tag=5):
@@ -194,6 +207,21 @@
     load: LoadReport | None
 
 
+class FetchConfiguration(msgspec.Struct, frozen=True, array_like=True, tag=15):
+    """Asks for the configuration that the receiver has in force."""
+
+
+class ConfigurationContent(msgspec.Struct, frozen=True, array_like=True, tag=16):
+    """The compressed configuration in force, empty when there is none.
+
+    ``age_ms`` is how long ago it was known to be the newest one.
+    """
+
+    version: int
+    age_ms: int
+    content: bytes
+
+
 Frame = (
     Challenge
     | Hello
@@ -209,6 +237,8 @@
     | SuspectAck
     | Ping
     | Pong
+    | FetchConfiguration
+    | ConfigurationContent
 )
 
 _encoder = msgspec.msgpack.Encoder()
--- a/goldcresthoist/links/opener.py
+++ b/goldcresthoist/links/opener.py
@@ -1,6 +1,7 @@
 """The end of a link at the entry daemon, which opens it and makes the calls."""
 
 import asyncio
+from collections import deque
 
 from goldcresthoist.links.calls import OutgoingCall
 from goldcresthoist.links.connection import HANDSHAKE_TIMEOUT_S, LinkConnection
@@ -8,8 +9,10 @@
 from goldcresthoist.links.frames import (
     Body,
     Challenge,
+    ConfigurationContent,
     Credit,
     Failed,
+    FetchConfiguration,
     Head,
     Hello,
     Ping,
@@ -49,6 +52,7 @@
         self.unanswered_since = None
         self.ping_waiter = None
         self.acks = {}
+        self.fetches = deque()
         self.opened = self.loop.create_future()
         self.ended = self.loop.create_future()
 
@@ -73,6 +77,15 @@
         self.send(Suspect(fingerprint, count, instance))
         await asyncio.shield(waiter)
 
+    async def fetch_configuration(self):
+        """Return the `ConfigurationContent` of the peer."""
+        if self.closed:
+            raise LinkClosed("the link ended")
+        waiter = self.loop.create_future()
+        self.fetches.append(waiter)
+        self.send(FetchConfiguration())
+        return await waiter
+
     async def wait_ping_due(self, interval_s):
         """Wait until the next ping is due, or the link has ended."""
         self.ping_waiter = self.loop.create_future()
@@ -120,6 +133,8 @@
             self._take_load(message.load)
         elif kind is SuspectAck:
             self._on_ack(message)
+        elif kind is ConfigurationContent:
+            self._on_configuration(message)
         else:
             raise CorruptFrame(f"unexpected {kind.__name__} frame")
 
@@ -137,6 +152,10 @@
         for waiter in self.acks.values():
             waiter.cancel()
         self.acks.clear()
+        for waiter in self.fetches:
+            if not waiter.done():
+                waiter.set_exception(error)
+        self.fetches.clear()
         if not self.opened.done():
             self.opened.set_exception(error)
             self.opened.exception()
@@ -161,6 +180,13 @@
         self.mark_ready()
         self.opened.set_result(None)
 
+    def _on_configuration(self, message):
+        if not self.fetches:
+            raise CorruptFrame("a configuration that was not asked for")
+        waiter = self.fetches.popleft()
+        if not waiter.done():
+            waiter.set_result(message)
+
     def _on_ack(self, message):
         waiter = self.acks.pop(message.fingerprint, None)
         if waiter is not None and not waiter.done():
--- a/goldcresthoist/links/pool.py
+++ b/goldcresthoist/links/pool.py
@@ -3,7 +3,7 @@
 import asyncio
 import random
 
-from goldcresthoist.config.settings import split_address
+from goldcresthoist.addresses import split_address
 from goldcresthoist.links.errors import LinkError
 from goldcresthoist.links.opener import open_link
 
--- /dev/null
+++ b/goldcresthoist/node/assembly.py
@@ -0,0 +1,257 @@
+"""All parts of the daemon on the users' platform."""
+
+import hashlib
+import time
+
+import msgspec
+
+from goldcresthoist.addresses import split_address
+from goldcresthoist.balance import CrashSuspects
+from goldcresthoist.callers import CallerServer
+from goldcresthoist.fleet import (
+    ConfigurationWatch,
+    Directory,
+    FleetChannel,
+    MemberRecord,
+    Registration,
+)
+from goldcresthoist.fleet.messages import SuspectNotice
+from goldcresthoist.links import LinkClosed, LinkPool, LinkServer
+from goldcresthoist.node.announcements import AnnouncementServer
+from goldcresthoist.node.entry import EntryServer
+from goldcresthoist.node.own_upstream import OwnUpstream
+from goldcresthoist.node.run import make_connection
+from goldcresthoist.node.services import FleetServices
+from goldcresthoist.node.serving import UpstreamServer
+from goldcresthoist.platform import StoreClient
+from goldcresthoist.telemetry import Counters, DecisionLog, PlainExposition
+from goldcresthoist.upstreams import ConnectionPool
+
+__all__ = ["METRICS_PORT", "Node", "fleet_key"]
+
+# The port that deploy/system.toml names for the metrics.
+METRICS_PORT = 9464
+READY_PATH = "/ready"
+
+
+def fleet_key(settings):
+    """Return the key that the daemons of one fleet share.
+
+    The platform hands out no secret. The key keeps apart fleets that use other stores
+    and rejects corrupted datagrams; it does not stop an attacker on the network.
+    """
+    text = f"goldcresthoist fleet of {settings.store_address}"
+    return hashlib.blake2b(text.encode(), digest_size=32).digest()
+
+
+class Node:
+    """Builds the parts, starts them in order and stops them.
+
+    Must be made inside a running event loop.
+
+    Parameters
+    ----------
+    settings : NodeSettings
+    """
+
+    def __init__(self, settings):
+        self.settings = settings
+        self.counters = Counters(PlainExposition())
+        self.log = DecisionLog(settings.instance)
+        self.draining = False
+        key = fleet_key(settings)
+        self.record = MemberRecord(
+            settings.ip,
+            settings.instance,
+            settings.failure_domain,
+            settings.region,
+            settings.service,
+            int(time.time() * 1000),
+        )
+        self._build_fleet(key)
+        self._build_calls(key)
+        self._connect_parts()
+
+    def _build_fleet(self, key):
+        settings = self.settings
+        self.channel = FleetChannel(
+            settings.ip, settings.gossip_port, key, self.counters
+        )
+        self.directory = Directory(self.record, self.channel, self.log)
+        self.store = StoreClient(settings.store_address, self.counters)
+        self.watch = ConfigurationWatch(
+            self.directory, self.store, self._fetch_configuration, self.log
+        )
+        self.registration = Registration(
+            self.directory, self.store, self.watch, self.log
+        )
+
+    def _build_calls(self, key):
+        settings = self.settings
+        self.own = OwnUpstream(settings.upstream_address, settings.service)
+        self.pool = ConnectionPool(
+            *split_address(settings.upstream_address), make_connection=make_connection
+        )
+        self.suspects = CrashSuspects()
+        self.server = UpstreamServer(
+            self.own, self.pool, self.suspects, self.counters, self.log
+        )
+        self.links = LinkPool(settings.ip, key, self.counters)
+        self.link_server = LinkServer(settings.ip, key, self.server, self.counters)
+        self.services = FleetServices(
+            self.record, self.links, self.server, settings.bounds, settings.link_port
+        )
+        self.entry = EntryServer(
+            self.services,
+            self.watch,
+            self.server,
+            settings.service,
+            self.counters,
+            self.log,
+        )
+        self.announcements = AnnouncementServer(
+            self.own,
+            self.server,
+            self.directory,
+            self.registration,
+            self.log,
+            self.counters,
+        )
+        self.caller_server = CallerServer(self.entry.handle, self.counters)
+        self.announcement_server = CallerServer(
+            self.announcements.handle, self.counters
+        )
+        self.readiness_server = CallerServer(self._answer_ready, self.counters)
+        self.metrics_server = CallerServer(self._answer_metrics, self.counters)
+
+    def _connect_parts(self):
+        self.directory.on_member = self.services.add_member
+        self.watch.on_table = self._take_table
+        self.watch.on_store_return = self.registration.store_returned
+        self.server.configuration_content = self.watch.current
+        self.server.on_suspect = self._tell_suspect
+        self.link_server.on_peer = self._meet
+        self.channel.handlers[SuspectNotice] = lambda message, _: (
+            self.server.learn_suspect(message.fingerprint, message.count)
+        )
+        self.counters.gauge("ready", lambda: int(self.is_ready()))
+        self.counters.gauge("members", lambda: len(self.directory.members))
+        self.counters.gauge("in_flight", lambda: self.server.queue.running)
+        self.counters.gauge("queued", lambda: len(self.server.queue.waiting))
+        self.counters.gauge("configuration_version", lambda: self.watch.version)
+        self.counters.count_from("log_lines_dropped", lambda: self.log.dropped)
+
+    async def listen(self):
+        """Open all sockets.
+
+        Raises
+        ------
+        OSError
+            When an address cannot be used.
+        """
+        settings = self.settings
+        await self.channel.listen()
+        await self.link_server.listen(settings.ip, settings.link_port)
+        await self.announcement_server.listen(*split_address(settings.announce_address))
+        await self.readiness_server.listen(*split_address(settings.readiness_address))
+        await self.caller_server.listen(*split_address(settings.caller_address))
+        try:
+            await self.metrics_server.listen(settings.ip, METRICS_PORT)
+        except OSError as exc:
+            # Requests matter more than the metrics of them.
+            self.log.event("metrics unavailable", error=str(exc))
+
+    def is_ready(self):
+        """Return whether callers may send requests."""
+        return self.watch.table is not None and not self.draining
+
+    def start_draining(self):
+        """Take no more work for the own upstream; callers are asked to go elsewhere."""
+        self.draining = True
+        self.server.start_draining()
+
+    def reconfigure(self, settings):
+        """Take over changed settings as far as they apply to a running process.
+
+        Addresses and ports hold for the life of a process.
+        """
+        self.services.bounds = settings.bounds
+        if settings.service == self.settings.service:
+            return
+        self.log.event(
+            "service changed", was=self.settings.service, now=settings.service
+        )
+        self.settings = settings
+        self.own.service = settings.service
+        self.entry.caller_service = settings.service.encode()
+        self.record = msgspec.structs.replace(
+            self.record, service=settings.service, born_ms=int(time.time() * 1000)
+        )
+        self.directory.own = self.directory.members[self.record.ip] = self.record
+        self.services.own = self.record
+        self.services.add_member(self.record)
+        self.directory.announce()
+
+    def busy(self):
+        """Return whether requests or calls are in progress."""
+        return bool(self.entry.in_progress or self.server.running)
+
+    async def close(self):
+        """Stop all parts."""
+        for server in (
+            self.caller_server,
+            self.announcement_server,
+            self.readiness_server,
+            self.metrics_server,
+        ):
+            await server.close()
+        await self.watch.close()
+        await self.registration.close()
+        await self.links.close()
+        await self.link_server.close()
+        await self.server.close()
+        await self.pool.close()
+        await self.store.close()
+        self.channel.close()
+        self.log.flush()
+
+    def _take_table(self, table):
+        limits = table.limits
+        server = self.caller_server
+        server.max_header_bytes = limits.max_header_bytes
+        server.head_timeout_s = limits.header_timeout_s
+        server.idle_timeout_s = limits.idle_timeout_s
+        self.services.forget_routes(table)
+
+    async def _fetch_configuration(self, ip):
+        peer = self.links.peers.get(ip)
+        if peer is None:
+            raise LinkClosed(f"no link to {ip}")
+        await peer.first_attempt.wait()
+        if peer.link is None:
+            raise LinkClosed(f"no link to {ip}")
+        return await peer.link.fetch_configuration()
+
+    def _tell_suspect(self, fingerprint, count):
+        self.log.event("crash suspect", fingerprint=fingerprint.hex(), count=count)
+        notice = SuspectNotice(fingerprint, count)
+        self.channel.send(notice, self.directory.others())
+
+    def _meet(self, ip):
+        """Ask a daemon that this one does not know to introduce itself."""
+        if ip not in self.directory.members:
+            self.directory.request_roster((ip,))
+
+    async def _answer_ready(self, request, exchange):
+        path = request.target.partition("?")[0]
+        if path != READY_PATH:
+            exchange.start(404, [], b"", True)
+        elif self.is_ready():
+            exchange.start(200, [], b"ready\n", True)
+        else:
+            reason = b"draining\n" if self.draining else b"no configuration\n"
+            exchange.start(503, [], reason, True)
+
+    async def _answer_metrics(self, request, exchange):
+        headers = [(b"Content-Type", b"text/plain; version=0.0.4")]
+        exchange.start(200, headers, self.counters.text(), True)
--- /dev/null
+++ b/goldcresthoist/node/entry.py
@@ -0,0 +1,99 @@
+"""Requests of callers, and of the upstream beside the daemon."""
+
+import asyncio
+
+import msgspec
+
+from goldcresthoist.callers import CallerError
+from goldcresthoist.node.request import EntryRequest
+from goldcresthoist.platform.fields import read_request_fields, refusal_headers
+
+__all__ = ["EntryServer"]
+
+# Requests of callers that do not say how long they wait.
+DEFAULT_WAIT_S = 30.0
+# A daemon that has no configuration yet asks callers to come back this soon.
+NOT_READY_RETRY_S = 0.3
+
+
+class EntryServer:
+    """Finds the route of each request and answers it.
+
+    Parameters
+    ----------
+    services : FleetServices
+    watch : ConfigurationWatch
+    server : UpstreamServer
+    caller_service : str
+        The service beside this daemon, on whose instance the requests begin.
+    counters, log
+        See `UpstreamServer`.
+    """
+
+    def __init__(self, services, watch, server, caller_service, counters, log):
+        self.services = services
+        self.watch = watch
+        self.server = server
+        self.caller_service = caller_service.encode()
+        self.counters = counters
+        self.log = log
+        self.loop = asyncio.get_running_loop()
+        self.in_progress = 0
+
+    @property
+    def chooser(self):
+        """The chooser that `Attempt` counts with."""
+        return self.services.chooser
+
+    async def handle(self, request, exchange):
+        """Answer one request."""
+        fields = read_request_fields(request.headers)
+        table = self.watch.table
+        if table is None:
+            self.refuse(
+                exchange, 503, "not-ready", fields.request_id, NOT_READY_RETRY_S
+            )
+            return
+        path = request.target.partition("?")[0]
+        route = table.route_for(_host(request.headers), path)
+        if route is None:
+            self.refuse(exchange, 404, "unknown-route", fields.request_id)
+            return
+        length = request.content_length
+        if length is not None and length > table.limits.max_body_bytes:
+            self.refuse(exchange, 413, "body-too-large", fields.request_id)
+            return
+        wait_s = DEFAULT_WAIT_S if fields.wait_s is None else fields.wait_s
+        entry = EntryRequest(self, route, table, request, exchange, fields, wait_s)
+        self.in_progress += 1
+        try:
+            async with asyncio.timeout(max(0.0, min(wait_s, route.timeout_s))):
+                await entry.run()
+        except TimeoutError:
+            entry.on_deadline()
+        except CallerError as exc:
+            entry.on_caller_error(exc)
+        finally:
+            self.in_progress -= 1
+            entry.finish()
+
+    def refuse(self, exchange, status, code, request_id, retry_after_s=0.0):
+        """Answer with a status of the daemon's own."""
+        if exchange.finished or exchange.connection.closed:
+            return
+        if exchange.started:
+            exchange.abort()
+            return
+        self.counters.add("answers", status=str(status), code=code)
+        if exchange.request_body is not None and not exchange.request_body.ended:
+            exchange.keep_alive = False
+        body = msgspec.json.encode({"code": code})
+        headers = refusal_headers(request_id, retry_after_s)
+        exchange.start(status, headers, body, True)
+
+
+def _host(headers):
+    for name, value in headers:
+        if name == b"host":
+            return value.decode("latin-1").partition(":")[0].lower()
+    return ""
--- /dev/null
+++ b/goldcresthoist/node/lifecycle.py
@@ -0,0 +1,135 @@
+"""Start, stop and reload of the daemon's process."""
+
+import asyncio
+import signal
+import sys
+from pathlib import Path
+from time import monotonic
+
+from goldcresthoist.node.assembly import Node
+from goldcresthoist.platform import InvalidNodeSettings, NodeSettings
+from goldcresthoist.platform.settings import settings_path
+
+__all__ = ["run", "serve"]
+
+SUCCESS = 0
+FAILURE = 1
+BAD_SETTINGS = 2
+# The platform asks for the readiness once a second, and callers stop after two misses;
+# until then they must be answered.
+LINGER_S = 3.0
+# Part of the grace after which what still runs is cut off.
+STOP_SHARE = 0.93
+POLL_S = 0.05
+SETTINGS_POLL_S = 1.0
+
+
+def run():
+    """Run the daemon that the environment describes; return the exit status."""
+    try:
+        settings = NodeSettings.from_environment()
+    except InvalidNodeSettings as exc:
+        print(exc, file=sys.stderr)
+        return BAD_SETTINGS
+    import uvloop
+
+    try:
+        uvloop.run(serve(settings))
+    except OSError as exc:
+        print(f"the daemon cannot start: {exc}", file=sys.stderr)
+        return FAILURE
+    return SUCCESS
+
+
+async def serve(settings):
+    """Serve until SIGTERM or SIGINT, then drain.
+
+    Raises
+    ------
+    OSError
+        When an address of the settings cannot be used.
+    """
+    loop = asyncio.get_running_loop()
+    stop = asyncio.Event()
+    reload = asyncio.Event()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stop.set)
+    loop.add_signal_handler(signal.SIGHUP, reload.set)
+    node = Node(settings)
+    tasks = []
+    try:
+        await node.listen()
+        node.log.event("started", service=settings.service, ip=settings.ip)
+        tasks = [
+            loop.create_task(node.registration.run()),
+            loop.create_task(_start_watch(node)),
+            loop.create_task(_watch_settings(node, reload)),
+        ]
+        await stop.wait()
+        await _drain(node)
+    finally:
+        for task in tasks:
+            task.cancel()
+        await node.close()
+
+
+async def _start_watch(node):
+    """Follow the configuration; the members should be known first."""
+    try:
+        async with asyncio.timeout(POLL_S * 4):
+            await node.registration.loaded.wait()
+    except TimeoutError:
+        node.log.event("members unknown", reason="the store does not answer")
+    node.watch.start()
+
+
+async def _drain(node):
+    grace_s = node.settings.bounds.stop_grace_s
+    started = monotonic()
+    node.log.event("stopping", grace_s=grace_s, in_progress=node.entry.in_progress)
+    node.start_draining()
+    linger_until = started + min(LINGER_S, grace_s / 2)
+    last = started + STOP_SHARE * grace_s
+    while monotonic() < last:
+        if monotonic() >= linger_until:
+            node.caller_server.start_draining()
+            if not node.busy():
+                break
+        await asyncio.sleep(POLL_S)
+    cut = node.entry.in_progress
+    node.log.event("stopped", cut=cut, after_s=round(monotonic() - started, 2))
+
+
+async def _watch_settings(node, reload):
+    """Take over changed settings, with a signal or without one."""
+    path = Path(settings_path())
+    known = _read(path)
+    while True:
+        try:
+            async with asyncio.timeout(SETTINGS_POLL_S):
+                await reload.wait()
+        except TimeoutError:
+            pass
+        signalled = reload.is_set()
+        reload.clear()
+        content = _read(path)
+        if content == known and not signalled:
+            continue
+        known = content
+        if content is None:
+            node.log.event("settings unreadable", path=str(path))
+            continue
+        try:
+            settings = NodeSettings.from_text(content, str(path))
+        except InvalidNodeSettings as exc:
+            node.log.event("settings ignored", error=str(exc))
+            continue
+        node.log.event("settings read", changed=settings != node.settings)
+        node.reconfigure(settings)
+
+
+def _read(path):
+    try:
+        return path.read_text()
+    except (OSError, UnicodeDecodeError):
+        return None
--- /dev/null
+++ b/goldcresthoist/node/own_upstream.py
@@ -0,0 +1,118 @@
+"""Which run of the upstream stands beside this daemon."""
+
+import enum
+
+__all__ = ["Heard", "OwnUpstream"]
+
+# An upstream that has said nothing for this long may be replaced by one that tells no
+# later start; it announces itself every 1.5 s.
+SILENT_AFTER_S = 4.0
+MOST_DEPARTED = 64
+
+
+class Heard(enum.Enum):
+    """What became of an announcement."""
+
+    NEW = "new"
+    KNOWN = "known"
+    DRAINING = "draining"
+    STALE = "stale"
+    DEPARTED = "departed"
+    FOREIGN = "foreign"
+
+
+class OwnUpstream:
+    """The newest run of the upstream, by what it announces.
+
+    Announcements may be late, repeated, forged or from an earlier run. Calls are sent
+    only to the identity that is known here, and never to one whose leaving was
+    acknowledged.
+
+    Parameters
+    ----------
+    address, service : str
+        What the settings say of the upstream.
+    """
+
+    def __init__(self, address, service):
+        self.address = address
+        self.service = service
+        self.identity = None
+        self.born_ms = 0
+        self.sequence = -1
+        self.slots = 1
+        self.cold_until = 0.0
+        self.heard_at = float("-inf")
+        # Runs whose leaving was acknowledged, oldest first.
+        self.departed = {}
+        # The run that another upstream at the address denied to be.
+        self.denied = None
+        self.leaving = False
+
+    def usable(self):
+        """Return whether calls may be sent."""
+        return self.identity is not None and not self.leaving and self.denied is None
+
+    def hear(self, announcement, now):
+        """Take over an announcement; return a `Heard`."""
+        if announcement.address != self.address or announcement.service != self.service:
+            return Heard.FOREIGN
+        run = (announcement.identity, announcement.born_ms)
+        known = (self.identity, self.born_ms)
+        if run in self.departed:
+            if run == known:
+                self.leaving = True
+                self.heard_at = now
+            return Heard.DEPARTED
+        if run != known and not self._replaces(announcement, now):
+            return Heard.STALE
+        if run == known and announcement.sequence <= self.sequence:
+            return Heard.STALE
+        self._take(announcement, now)
+        if announcement.draining:
+            self.leaving = True
+            return Heard.DRAINING
+        if run != known or self.denied is not None:
+            self.denied = None
+            return Heard.NEW
+        return Heard.KNOWN
+
+    def depart(self, identity, born_ms=0):
+        """Never send another call to this run; return its start in Unix ms."""
+        if not born_ms and identity == self.identity:
+            born_ms = self.born_ms
+        self.departed[(identity, born_ms)] = True
+        while len(self.departed) > MOST_DEPARTED:
+            self.departed.pop(next(iter(self.departed)))
+        if (identity, born_ms) == (self.identity, self.born_ms):
+            self.leaving = True
+        return born_ms
+
+    def deny(self):
+        """Note that the upstream at the address is another one than is known."""
+        self.denied = (self.identity, self.born_ms)
+
+    def cold(self, now):
+        """Return whether the upstream is still slow after its start."""
+        return now < self.cold_until
+
+    def _replaces(self, announcement, now):
+        if self.identity is None:
+            return True
+        if announcement.born_ms != self.born_ms:
+            return announcement.born_ms > self.born_ms
+        silent = now - self.heard_at > SILENT_AFTER_S
+        return self.leaving or self.denied is not None or silent
+
+    def _take(self, announcement, now):
+        if (announcement.identity, announcement.born_ms) != (
+            self.identity,
+            self.born_ms,
+        ):
+            self.leaving = False
+        self.identity = announcement.identity
+        self.born_ms = announcement.born_ms
+        self.sequence = announcement.sequence
+        self.slots = announcement.slots
+        self.cold_until = now + announcement.cold_s
+        self.heard_at = now
--- /dev/null
+++ b/goldcresthoist/node/request.py
@@ -0,0 +1,412 @@
+"""One request on its way through upstreams."""
+
+import asyncio
+import hashlib
+from time import monotonic
+
+from goldcresthoist.balance import Outcome
+from goldcresthoist.daemon.attempt import Attempt
+from goldcresthoist.daemon.relay import relay_answer
+from goldcresthoist.links import LinkClosed
+from goldcresthoist.links.frames import Failed, FailureKind, Head, Open, Refuse
+from goldcresthoist.platform.fields import upstream_headers
+
+__all__ = ["EntryRequest"]
+
+# Request bodies up to this size travel with the offer and are kept for a second one;
+# the rest of a larger one follows when the upstream's daemon has a slot for it.
+PREFIX_BYTES = 8 * 1024
+FINGERPRINT_BYTES = 16
+# Daemons that a request is offered to before it is refused.
+MOST_OFFERS = 4
+# A second copy is sent when this share of the aim has passed without an answer.
+HEDGE_SHARE = 0.45
+# and not before this multiple of the usual time.
+HEDGE_MULTIPLE = 1.3
+# Time left below which another upstream could not answer any more, as a share of the
+# usual time.
+LEAST_TIME_SHARE = 0.7
+# Retry budget that hedges leave for requests that have failed.
+HEDGE_KEEPS = 1.0
+RETRY_AFTER_MIN_S = 0.08
+RETRY_AFTER_MAX_S = 1.0
+MOST_CRASHES_RETRIED = 2
+FAILED_STATUSES = frozenset((500, 502, 503, 504))
+
+
+class EntryRequest:
+    """Offers a request to upstreams until one answers, within its limits."""
+
+    __slots__ = (
+        "arrived",
+        "attempts",
+        "body_complete",
+        "body_started",
+        "crash_count",
+        "deadline",
+        "decisions",
+        "entry",
+        "exchange",
+        "exclude",
+        "fields",
+        "fingerprint",
+        "headers",
+        "loop",
+        "offers",
+        "outcome",
+        "prefix",
+        "request",
+        "retry_after_s",
+        "route",
+        "router",
+        "rule",
+        "runs",
+        "service",
+        "state",
+        "target",
+        "version",
+    )
+
+    def __init__(self, entry, route, table, request, exchange, fields, wait_s):
+        self.entry = self.router = entry
+        self.loop = entry.loop
+        self.request = request
+        self.exchange = exchange
+        self.fields = fields
+        self.version = table.version
+        self.arrived = now = monotonic()
+        # The route's time-out and the caller's deadline both end the wait.
+        self.deadline = now + min(wait_s, route.timeout_s)
+        self.state = entry.services.route(route)
+        self.rule = self.state.rule
+        part = self.state.shares.next()
+        self.service = entry.services.service(part.service)
+        # `Attempt` and `relay_answer` know the route by this name.
+        self.route = _RelayRoute(self.state, part.service)
+        self.target = request.target
+        self.headers = upstream_headers(request.headers, entry.caller_service)
+        self.prefix = b""
+        self.body_complete = request.body.exhausted
+        self.body_started = False
+        self.fingerprint = b""
+        self.crash_count = 0
+        self.exclude = []
+        self.attempts = []
+        self.offers = 0
+        # Offers that reached an upstream.
+        self.runs = 0
+        self.retry_after_s = 0.0
+        self.outcome = "abandoned"
+        self.decisions = []
+
+    async def run(self):
+        """Answer the request."""
+        await self._read_prefix()
+        self.service.budget.record_request()
+        outcome = None
+        attempt = self._offer()
+        try:
+            while attempt is not None:
+                attempt, outcome = await self._settle(attempt)
+                if _is_final_answer(outcome):
+                    break
+                following = await self._next(attempt, outcome)
+                if following is None:
+                    break
+                attempt = following
+            await self._answer(attempt, outcome)
+        finally:
+            for item in self.attempts:
+                item.give_up()
+
+    def open_message(self, call_id, now, hedge):
+        """Return the `Open` message of one offer."""
+        route = self.state.route
+        return Open(
+            call_id,
+            self.service.name,
+            self.rule.name,
+            self.request.method,
+            self.target,
+            self.headers,
+            max(0, int((self.deadline - now) * 1e6)),
+            "",
+            self.fingerprint,
+            self.crash_count,
+            self.prefix,
+            self.body_complete,
+            hedge,
+            route.priority,
+            max(0, int((self.arrived + route.aim_s - now) * 1e6)),
+            self._alternatives(now),
+            route.repeatable,
+        )
+
+    def on_deadline(self):
+        """Answer a request whose time is over."""
+        if self.exchange.finished:
+            return
+        self.outcome = "deadline"
+        if self.runs or self.attempts:
+            self.entry.refuse(
+                self.exchange, 504, "deadline-exceeded", self.fields.request_id
+            )
+        else:
+            self.entry.refuse(self.exchange, 503, "deadline", self.fields.request_id)
+
+    def on_caller_error(self, error):
+        """Note that the caller's own bytes ended the request."""
+        self.outcome = "caller-gone"
+        if not self.exchange.finished:
+            self.exchange.abort()
+
+    def finish(self):
+        """Write the line of the request."""
+        now = monotonic()
+        status = self.exchange.status if self.exchange.started else 0
+        self.entry.counters.add("requests", route=self.rule.name, outcome=self.outcome)
+        self.entry.counters.observe(
+            "request_seconds", now - self.arrived, outcome=self.outcome
+        )
+        request_id = self.fields.request_id
+        self.entry.log.event(
+            "request",
+            id=request_id.decode("latin-1") if request_id else None,
+            route=self.rule.name,
+            service=self.service.name,
+            version=self.version,
+            outcome=self.outcome,
+            status=status,
+            ms=round((now - self.arrived) * 1000, 1),
+            decisions=self.decisions,
+        )
+
+    async def _read_prefix(self):
+        body = self.request.body
+        if not self.body_complete:
+            self.exchange.allow_body()
+            length = self.request.content_length
+            if length is None or length <= PREFIX_BYTES:
+                self.prefix = await body.read_up_to(PREFIX_BYTES)
+                self.body_complete = body.exhausted
+        mark = hashlib.blake2b(digest_size=FINGERPRINT_BYTES)
+        for part in (
+            self.entry.caller_service,
+            self.request.method.encode(),
+            self.target.encode(),
+            str(self.request.content_length).encode(),
+            self.prefix,
+        ):
+            mark.update(len(part).to_bytes(4, "big"))
+            mark.update(part)
+        self.fingerprint = mark.digest()
+
+    def _alternatives(self, now):
+        if self.offers >= MOST_OFFERS:
+            return 0
+        return self.entry.services.others(self.service, now, self.exclude)
+
+    def _offer(self, hedge=False):
+        """Offer the request to the best upstream left; None if there is none."""
+        size = max(self.request.content_length or 0, len(self.prefix))
+        while self.offers < MOST_OFFERS or hedge:
+            now = monotonic()
+            choice = self.entry.services.choose(
+                self.service, self.rule, now, self.exclude, size
+            )
+            if choice is None:
+                return None
+            view, peer = choice
+            self.exclude.append(view)
+            self.offers += 1
+            try:
+                attempt = Attempt(self, view, peer, hedge)
+            except LinkClosed:
+                # Nothing was sent.
+                continue
+            self.attempts.append(attempt)
+            self.decisions.append(self._choice_line(view, now, hedge))
+            return attempt
+        return None
+
+    def _choice_line(self, view, now, hedge):
+        return {
+            "to": view.instance,
+            "hedge": hedge,
+            "ms": round((now - self.arrived) * 1000, 1),
+            "load": view.in_flight + round(view.others),
+            "load_age_ms": int((now - view.report_age_from) * 1000),
+            "pace": round(view.pace, 2),
+            "pace_age_ms": int((now - view.pace_time) * 1000),
+        }
+
+    async def _settle(self, attempt):
+        """Return the attempt that decides and its outcome; may send a second copy."""
+        if not self.state.route.repeatable or not self.body_complete:
+            return attempt, await attempt.outcome()
+        delay_s = max(
+            HEDGE_SHARE * self.state.route.aim_s, HEDGE_MULTIPLE * self.rule.usual_s
+        )
+        outcome = await attempt.outcome(delay_s)
+        if outcome is not None:
+            return attempt, outcome
+        hedge = self._hedge()
+        if hedge is None:
+            return attempt, await attempt.outcome()
+        return await self._race(attempt, hedge)
+
+    def _hedge(self):
+        now = monotonic()
+        route = self.state.route
+        left_s = self.deadline - now
+        if left_s < LEAST_TIME_SHARE * self.rule.usual_s:
+            return None
+        if self.runs + 2 > route.max_attempts or not self._alternatives(now):
+            return None
+        if not self.service.budget.take(HEDGE_KEEPS):
+            self.entry.counters.add("retries_denied")
+            return None
+        hedge = self._offer(hedge=True)
+        if hedge is not None:
+            self.entry.counters.add("hedges", service=self.service.name)
+        return hedge
+
+    async def _race(self, *attempts):
+        """Wait for the first answer; the other attempt is cancelled."""
+        tasks = {self.loop.create_task(item.outcome()): item for item in attempts}
+        try:
+            while True:
+                done, _ = await asyncio.wait(tasks, return_when=asyncio.FIRST_COMPLETED)
+                for task in done:
+                    attempt, outcome = tasks.pop(task), task.result()
+                    if _is_good(outcome) or not tasks:
+                        for other in self.attempts:
+                            if other is not attempt:
+                                other.give_up()
+                        return attempt, outcome
+                    self._note(attempt, outcome)
+        finally:
+            for task in tasks:
+                task.cancel()
+
+    async def _next(self, attempt, outcome):
+        """Return a further attempt after one without a final answer, or None."""
+        self._note(attempt, outcome)
+        now = monotonic()
+        left_s = self.deadline - now
+        route = self.state.route
+        if self.body_started or left_s < LEAST_TIME_SHARE * self.rule.usual_s:
+            return None
+        if isinstance(outcome, Refuse) and outcome.code != "upstream-refused":
+            # A daemon's refusal never reached its upstream, so it costs no budget.
+            return None if outcome.code == "crash-suspect" else self._offer()
+        if self.runs >= route.max_attempts:
+            return None
+        if not isinstance(outcome, Refuse) and not route.repeatable:
+            return None
+        if self.crash_count >= MOST_CRASHES_RETRIED:
+            return None
+        if not self._alternatives(now):
+            return None
+        if not self.service.budget.take():
+            self.entry.counters.add("retries_denied")
+            self.decisions.append({"retry": "denied", "reason": _reason(outcome)})
+            return None
+        self.entry.counters.add("retries", reason=_reason(outcome))
+        return self._offer()
+
+    def _note(self, attempt, outcome):
+        """Count how an attempt ended without a final answer."""
+        self.decisions.append(
+            {
+                "from": attempt.view.instance,
+                "got": _reason(outcome),
+                "ms": round((monotonic() - self.arrived) * 1000, 1),
+            }
+        )
+        match outcome:
+            case Refuse(code="no-upstream"):
+                attempt.end(Outcome.FAILED, outcome.load)
+            case Refuse():
+                if outcome.code == "upstream-refused":
+                    self.runs += 1
+                self.retry_after_s = max(
+                    self.retry_after_s, outcome.retry_after_ms / 1000.0
+                )
+                attempt.end(Outcome.REFUSED, outcome.load)
+            case Failed(kind=FailureKind.CRASHED):
+                self.runs += 1
+                self.crash_count = max(outcome.crash_count, self.crash_count + 1)
+                attempt.end(Outcome.FAILED, outcome.load)
+            case Failed(kind=FailureKind.TIMED_OUT):
+                self.runs += 1
+                attempt.end(Outcome.FAILED, outcome.load)
+            case Failed():
+                self.runs += 1
+                attempt.end(Outcome.FAILED, outcome.load)
+            case Head():
+                self.runs += 1
+                attempt.end(Outcome.FAILED, outcome.load)
+
+    async def _answer(self, attempt, outcome):
+        request_id = self.fields.request_id
+        match outcome:
+            case Head():
+                self.outcome = "answered" if _is_good(outcome) else "upstream-error"
+                await relay_answer(self, attempt, outcome)
+            case Failed(kind=FailureKind.TIMED_OUT):
+                self.outcome = "timed-out"
+                self.entry.refuse(self.exchange, 504, "deadline-exceeded", request_id)
+            case Failed():
+                self.outcome = "failed"
+                self.entry.refuse(self.exchange, 502, "upstream-failed", request_id)
+            case _ if self._may_have_run():
+                self.outcome = "failed"
+                self.entry.refuse(self.exchange, 502, "upstream-failed", request_id)
+            case Refuse(code=code):
+                self.outcome = "refused"
+                self.entry.refuse(
+                    self.exchange, 503, code, request_id, self._retry_after_s()
+                )
+            case None:
+                self.outcome = "no-upstream"
+                self.entry.refuse(
+                    self.exchange, 503, "no-upstream", request_id, self._retry_after_s()
+                )
+
+    def _may_have_run(self):
+        """Return whether some attempt but a refused one was made."""
+        return any(line.get("got", "").startswith("!") for line in self.decisions)
+
+    def _retry_after_s(self):
+        return min(RETRY_AFTER_MAX_S, max(RETRY_AFTER_MIN_S, self.retry_after_s))
+
+
+class _RelayRoute:
+    """What `Attempt` and `relay_answer` need of a route."""
+
+    __slots__ = ("hedges", "name")
+
+    def __init__(self, state, service):
+        self.hedges = state
+        self.name = service
+
+
+def _is_good(outcome):
+    return type(outcome) is Head and outcome.status not in FAILED_STATUSES
+
+
+def _is_final_answer(outcome):
+    return _is_good(outcome)
+
+
+def _reason(outcome):
+    """Return why an outcome is not final; "!" marks that the request may have run."""
+    match outcome:
+        case Refuse(code=code):
+            return code
+        case Failed(kind=kind):
+            return "!" + kind
+        case Head(status=status):
+            return f"!status-{status}"
+    return "none"
--- a/goldcresthoist/objects/client.py
+++ b/goldcresthoist/objects/client.py
@@ -6,12 +6,12 @@
 
 import aiohttp
 
+from goldcresthoist.access import CallFailed, CallGate, CallNotSent, SignedHttp
 from goldcresthoist.objects.errors import (
     ObjectMissing,
     ObjectsError,
     ObjectsUnavailable,
 )
-from goldcresthoist.platform import CallFailed, CallGate, CallNotSent, SignedHttp
 
 __all__ = ["ObjectClient"]
 
--- a/goldcresthoist/operations/_appends.py
+++ b/goldcresthoist/operations/_appends.py
@@ -3,6 +3,7 @@
 import time
 from dataclasses import dataclass, field, replace
 
+from goldcresthoist.access import Backoff
 from goldcresthoist.objects import ObjectsUnavailable
 from goldcresthoist.operations._records import Record, State
 from goldcresthoist.operations.expiry import KEEP_S
@@ -12,7 +13,6 @@
     OffsetMismatch,
     StoreUnavailable,
 )
-from goldcresthoist.platform import Backoff
 from goldcresthoist.table import (
     Applied,
     NotSent,
--- a/goldcresthoist/operations/_ends.py
+++ b/goldcresthoist/operations/_ends.py
@@ -2,10 +2,10 @@
 
 import math
 
+from goldcresthoist.access import Backoff
 from goldcresthoist.objects import ObjectsUnavailable
 from goldcresthoist.operations._records import State
 from goldcresthoist.operations.results import Released, Superseded
-from goldcresthoist.platform import Backoff
 from goldcresthoist.table import Applied, NotSent, Refused, TableUnavailable
 
 __all__ = ["OperationEnds"]
--- a/goldcresthoist/operations/_parts.py
+++ b/goldcresthoist/operations/_parts.py
@@ -2,10 +2,10 @@
 
 from dataclasses import dataclass
 
+from goldcresthoist.access import Backoff
 from goldcresthoist.objects import ObjectMissing, ObjectsUnavailable
 from goldcresthoist.operations._records import new_nonce
 from goldcresthoist.operations.errors import MissingPart
-from goldcresthoist.platform import Backoff
 from goldcresthoist.table import Absent, Always, Key, Put
 
 __all__ = ["Part", "PartStore"]
--- a/goldcresthoist/operations/_starts.py
+++ b/goldcresthoist/operations/_starts.py
@@ -4,9 +4,9 @@
 import time
 from dataclasses import replace
 
+from goldcresthoist.access import Backoff
 from goldcresthoist.operations._records import Record, State, new_nonce
 from goldcresthoist.operations.results import Started, StoreUnavailable
-from goldcresthoist.platform import Backoff
 from goldcresthoist.table import Applied, NotSent, Refused, Undecided
 
 __all__ = ["OperationStarts", "started_of"]
--- a/goldcresthoist/operations/expiry.py
+++ b/goldcresthoist/operations/expiry.py
@@ -4,9 +4,9 @@
 import time
 from dataclasses import dataclass
 
+from goldcresthoist.access import Backoff
 from goldcresthoist.operations._parts import PartStore
 from goldcresthoist.operations._records import RecordTable, State
-from goldcresthoist.platform import Backoff
 from goldcresthoist.table import (
     Always,
     Applied,
--- a/goldcresthoist/operations/ledger.py
+++ b/goldcresthoist/operations/ledger.py
@@ -2,6 +2,7 @@
 
 import asyncio
 
+from goldcresthoist.access import Backoff
 from goldcresthoist.objects import ObjectClient
 from goldcresthoist.operations._answers import result_of
 from goldcresthoist.operations._background import BackgroundWrites, result_before
@@ -24,7 +25,6 @@
     Settlement,
     StoreUnavailable,
 )
-from goldcresthoist.platform import Backoff
 from goldcresthoist.table import (
     Applied,
     NotSent,
--- a/goldcresthoist/operations/uploads.py
+++ b/goldcresthoist/operations/uploads.py
@@ -4,6 +4,7 @@
 import time
 from dataclasses import replace
 
+from goldcresthoist.access import Backoff
 from goldcresthoist.objects import ObjectsUnavailable
 from goldcresthoist.operations._answers import result_of
 from goldcresthoist.operations._appends import MOST_PART_BYTES, UploadAppends
@@ -21,7 +22,6 @@
     UploadFields,
     Verified,
 )
-from goldcresthoist.platform import Backoff
 from goldcresthoist.table import (
     Applied,
     NotSent,
--- a/goldcresthoist/operators/fleet_configuration.py
+++ b/goldcresthoist/operators/fleet_configuration.py
@@ -6,7 +6,8 @@
 
 import msgspec
 
-from goldcresthoist.config import TeamConfiguration, differences
+from goldcresthoist.config import TeamConfiguration
+from goldcresthoist.config.differences import differences
 from goldcresthoist.config.errors import (
     ConfigurationConflict,
     ConfigurationUnavailable,
--- a/goldcresthoist/operators/tests/builders.py
+++ b/goldcresthoist/operators/tests/builders.py
@@ -5,7 +5,7 @@
 
 from loguru import logger
 
-from goldcresthoist.config import differences
+from goldcresthoist.config.differences import differences
 from goldcresthoist.operators import (
     ApplyReport,
     ConfigurationRecord,
--- a/goldcresthoist/platform/__init__.py
+++ b/goldcresthoist/platform/__init__.py
@@ -1,21 +1,57 @@
-"""Bounded, signed HTTP calls that the clients of the platform services share."""
+"""Names, formats and calls of the users' platform, translated into the project's types.
 
-from goldcresthoist.platform.backoff import Backoff
+Nothing in this package decides anything. The words of the platform appear only here:
+its machine is an instance, its zone a failure domain, its tenant a workspace, its
+client a caller, its target, server or back end an upstream.
+"""
+
+from goldcresthoist.platform.announcements import (
+    Announcement,
+    Departure,
+    decode_announcement,
+    decode_departure,
+    identity_in_path,
+)
+from goldcresthoist.platform.configuration import (
+    CONFIGURATION_KEY,
+    CONFIGURATION_TABLE,
+    decode_configuration,
+)
 from goldcresthoist.platform.errors import (
-    CallFailed,
-    CallNotSent,
-    PlatformError,
+    HistoryGone,
+    InvalidMessage,
+    InvalidNodeSettings,
+    OutcomeUnknown,
+    PlatformFormatError,
+    StoreError,
+    StoreRefused,
+    StoreUnavailable,
+    WriteConflict,
 )
-from goldcresthoist.platform.gate import CallGate, GateLimits
-from goldcresthoist.platform.http import HttpAnswer, SignedHttp
+from goldcresthoist.platform.settings import Bounds, NodeSettings
+from goldcresthoist.platform.store import Row, RowPage, StoreClient
 
 __all__ = [
-    "Backoff",
-    "CallFailed",
-    "CallGate",
-    "CallNotSent",
-    "GateLimits",
-    "HttpAnswer",
-    "PlatformError",
-    "SignedHttp",
+    "CONFIGURATION_KEY",
+    "CONFIGURATION_TABLE",
+    "Announcement",
+    "Bounds",
+    "Departure",
+    "HistoryGone",
+    "InvalidMessage",
+    "InvalidNodeSettings",
+    "NodeSettings",
+    "OutcomeUnknown",
+    "PlatformFormatError",
+    "Row",
+    "RowPage",
+    "StoreClient",
+    "StoreError",
+    "StoreRefused",
+    "StoreUnavailable",
+    "WriteConflict",
+    "decode_announcement",
+    "decode_configuration",
+    "decode_departure",
+    "identity_in_path",
 ]
--- a/goldcresthoist/platform/tests/__init__.py
+++ b/goldcresthoist/platform/tests/__init__.py
@@ -1,1 +0,0 @@
-"""Tests of the shared platform calls."""
--- /dev/null
+++ b/goldcresthoist/routes/__init__.py
@@ -0,0 +1,25 @@
+"""Routes of requests: the configuration on the platform, and the choice by it."""
+
+from goldcresthoist.routes.model import (
+    CallerLimits,
+    Idempotent,
+    NonIdempotent,
+    Part,
+    Route,
+    RouteKind,
+    RoutingTable,
+    Upload,
+)
+from goldcresthoist.routes.shares import ShareCounter
+
+__all__ = [
+    "CallerLimits",
+    "Idempotent",
+    "NonIdempotent",
+    "Part",
+    "Route",
+    "RouteKind",
+    "RoutingTable",
+    "ShareCounter",
+    "Upload",
+]
--- a/goldcresthoist/table/client.py
+++ b/goldcresthoist/table/client.py
@@ -2,7 +2,7 @@
 
 import json
 
-from goldcresthoist.platform import CallFailed, CallGate, CallNotSent, SignedHttp
+from goldcresthoist.access import CallFailed, CallGate, CallNotSent, SignedHttp
 from goldcresthoist.table.errors import (
     ConditionFailed,
     OutcomeUnknown,
--- a/goldcresthoist/table/tests/test_client.py
+++ b/goldcresthoist/table/tests/test_client.py
@@ -3,7 +3,7 @@
 import asyncio
 import unittest
 
-from goldcresthoist.platform import GateLimits
+from goldcresthoist.access import GateLimits
 from goldcresthoist.table import (
     Absent,
     Always,
--- a/goldcresthoist/telemetry/__init__.py
+++ b/goldcresthoist/telemetry/__init__.py
@@ -1,14 +1,15 @@
 """Logs and metrics."""
 
-from goldcresthoist.telemetry._catalogue import METRICS, REFUSAL_CODES, RETRY_REASONS
-from goldcresthoist.telemetry.counters import Counters
-from goldcresthoist.telemetry.log import configure_logging, log_event
-
-__all__ = [
-    "METRICS",
-    "REFUSAL_CODES",
-    "RETRY_REASONS",
-    "Counters",
-    "configure_logging",
-    "log_event",
-]
+from goldcresthoist._lazy import lazy_members
+
+_MODULES = {
+    "_catalogue": ("METRICS", "REFUSAL_CODES", "RETRY_REASONS"),
+    "_plain": ("PlainExposition",),
+    "counters": ("Counters",),
+    "decisions": ("DecisionLog",),
+    "log": ("configure_logging", "log_event"),
+}
+
+__all__ = [name for names in _MODULES.values() for name in names]  # noqa: PLE0605
+
+__getattr__ = lazy_members(__name__, _MODULES)
--- a/goldcresthoist/telemetry/counters.py
+++ b/goldcresthoist/telemetry/counters.py
@@ -3,7 +3,6 @@
 import math
 
 from goldcresthoist.telemetry._catalogue import ALLOWED_VALUES, METRICS, REFUSAL_CODES
-from goldcresthoist.telemetry._exposition import Exposition
 from goldcresthoist.telemetry._histogram import LatencyHistogram
 
 __all__ = ["Counters"]
@@ -29,12 +28,16 @@
     their figures apart. All methods are called from the thread of the event loop.
     """
 
-    def __init__(self):
+    def __init__(self, exposition=None):
         self._cells = {}
         self._counters = {}
         self._histogram_cells = {}
         self._histograms = {}
-        self._exposition = Exposition()
+        if exposition is None:
+            from goldcresthoist.telemetry._exposition import Exposition
+
+            exposition = Exposition()
+        self._exposition = exposition
         for code in REFUSAL_CODES:
             self.add("refusals", 0, code=code)
 
--- a/goldcresthoist/tests/platform_builders.py
+++ b/goldcresthoist/tests/platform_builders.py
@@ -1,8 +1,8 @@
 """Builders of clients and settings for tests of the platform clients."""
 
+from goldcresthoist.access import CallGate, GateLimits, SignedHttp
 from goldcresthoist.config import Settings
 from goldcresthoist.objects import ObjectClient
-from goldcresthoist.platform import CallGate, GateLimits, SignedHttp
 from goldcresthoist.table import TableClient
 
 __all__ = ["make_object_client", "make_settings", "make_table_client"]
--- a/goldcresthoist/tests/processes.py
+++ b/goldcresthoist/tests/processes.py
@@ -1,8 +1,10 @@
 """Starts nodes and stand-ins as processes of their own."""
 
+import random
 import socket
 import subprocess
 import sys
+from collections import deque
 from pathlib import Path
 
 import msgspec
@@ -23,13 +25,27 @@
 # The modules are imported from this work tree, wherever the tests are started.
 ROOT = Path(__file__).resolve().parent.parent.parent
 STOP_TIMEOUT_S = 10.0
+_PORTS = range(12_000, 32_000)
+# Ports that were handed out and may not be in use yet.
+_recent = deque(maxlen=2_000)
 
 
 def free_port():
-    """Return a TCP port that is free now."""
-    with socket.socket() as sock:
-        sock.bind(("127.0.0.1", 0))
-        return sock.getsockname()[1]
+    """Return a TCP port that is free now.
+
+    It lies below the range from which the system takes ports for outgoing connections;
+    one of that range was at times taken again before its owner listened on it.
+    """
+    while True:
+        port = random.choice(_PORTS)
+        with socket.socket() as sock:
+            try:
+                sock.bind(("127.0.0.1", port))
+            except OSError:
+                continue
+        if port not in _recent:
+            _recent.append(port)
+            return port
 
 
 def make_member(instance, service, failure_domain="a"):
--- a/goldcresthoist/tests/test_documents.py
+++ b/goldcresthoist/tests/test_documents.py
@@ -14,7 +14,7 @@
 class DocumentsTest(unittest.TestCase):
     def test_operations_page_explains_each_code_and_metric(self):
         """Guards against a code that nobody on call can look up."""
-        page = (ROOT / "docs" / "operations.md").read_text()
+        page = (ROOT / "docs" / "OPERATIONS.md").read_text()
         for name in (*REFUSAL_CODES, *METRICS):
             self.assertIn(f"`{name}`", page)
 
--- a/goldcresthoist/upstreams/__init__.py
+++ b/goldcresthoist/upstreams/__init__.py
@@ -9,10 +9,12 @@
     UpstreamTimedOut,
     UpstreamUnreachable,
 )
+from goldcresthoist.upstreams.identified import IdentifiedConnection
 from goldcresthoist.upstreams.pool import ConnectionPool
 
 __all__ = [
     "ConnectionPool",
+    "IdentifiedConnection",
     "RequestWriter",
     "UpstreamAnswer",
     "UpstreamBroken",
--- a/goldcresthoist/upstreams/client.py
+++ b/goldcresthoist/upstreams/client.py
@@ -14,12 +14,16 @@
         The call; its headers are end-to-end and have lower-case names.
     time_left_ms : int
         Time until the deadline.
+    headers : tuple of (bytes, bytes), optional
+        All headers to send, the deadline included; by default those of the call and the
+        product's own.
     """
 
-    __slots__ = ("call", "chunked", "remaining", "time_left_ms")
+    __slots__ = ("call", "chunked", "headers", "remaining", "time_left_ms")
 
-    def __init__(self, call, time_left_ms):
+    def __init__(self, call, time_left_ms, headers=None):
         self.call = call
+        self.headers = headers
         self.time_left_ms = time_left_ms
         self.chunked = False
         self.remaining = None
@@ -34,13 +38,12 @@
         """
         call = self.call
         parts = [b"%b %b HTTP/1.1\r\n" % (call.method.encode(), call.target.encode())]
-        for name, value in call.headers:
+        for name, value in call.headers if self.headers is None else self.headers:
             if name == b"content-length":
                 self.remaining = int(value)
             parts.append(b"%b: %b\r\n" % (name, value))
-        parts.append(b"goldcrest-deadline-ms: %d\r\n" % self.time_left_ms)
-        if call.key:
-            parts.append(b"idempotency-key: %b\r\n" % call.key.encode("latin-1"))
+        if self.headers is None:
+            self._add_own_fields(parts)
         if self.remaining is None:
             self._add_framing(parts)
         parts.append(b"\r\n")
@@ -69,6 +72,11 @@
             raise UpstreamBroken("the request body is shorter than its Content-Length")
         return b""
 
+    def _add_own_fields(self, parts):
+        parts.append(b"goldcrest-deadline-ms: %d\r\n" % self.time_left_ms)
+        if self.call.key:
+            parts.append(b"idempotency-key: %b\r\n" % self.call.key.encode("latin-1"))
+
     def _add_framing(self, parts):
         if not self.call.end:
             self.chunked = True
--- a/goldcresthoist/upstreams/pool.py
+++ b/goldcresthoist/upstreams/pool.py
@@ -24,6 +24,8 @@
         Address of the upstream.
     limit : int
         Most connections at the same time.
+    make_connection : callable
+        ``make_connection(on_lost)`` returns an `UpstreamConnection`.
 
     Attributes
     ----------
@@ -32,7 +34,8 @@
         background, and ``on_change()`` is called at each change.
     """
 
-    def __init__(self, host, port, limit=220):
+    def __init__(self, host, port, limit=220, make_connection=UpstreamConnection):
+        self.make_connection = make_connection
         self.host = host
         self.port = port
         self.limit = limit
@@ -119,7 +122,7 @@
         try:
             async with asyncio.timeout(CONNECT_TIMEOUT_S):
                 _, connection = await loop.create_connection(
-                    lambda: UpstreamConnection(self._on_lost), self.host, self.port
+                    lambda: self.make_connection(self._on_lost), self.host, self.port
                 )
         except (OSError, TimeoutError) as exc:
             self._mark_down()
