Keep the view of a daemon that starts again

Cause: each restart of a daemon announced a new record, for which the entry side made a new view that is not used before its first load report. Ruled out: ejection (cap of a half), a lost connection to the upstream (no such line), a missing heartbeat.

Test: node/tests/test_services.py, failed before.

--- a/goldcresthoist/node/entry.py
+++ b/goldcresthoist/node/entry.py
@@ -39,6 +39,8 @@
         self.log = log
         self.loop = asyncio.get_running_loop()
         self.in_progress = 0
+        # Set when the process is about to end: what is taken now might be cut off.
+        self.closing = False
 
     @property
     def chooser(self):
@@ -49,10 +51,10 @@
         """Answer one request."""
         fields = read_request_fields(request.headers)
         table = self.watch.table
-        if table is None:
-            self.refuse(
-                exchange, 503, "not-ready", fields.request_id, NOT_READY_RETRY_S
-            )
+        if table is None or self.closing:
+            code = "stopping" if self.closing else "not-ready"
+            exchange.keep_alive = exchange.keep_alive and not self.closing
+            self.refuse(exchange, 503, code, fields.request_id, NOT_READY_RETRY_S)
             return
         path = request.target.partition("?")[0]
         route = table.route_for(_host(request.headers), path)
--- a/goldcresthoist/node/lifecycle.py
+++ b/goldcresthoist/node/lifecycle.py
@@ -92,7 +92,9 @@
     last = started + STOP_SHARE * grace_s
     while monotonic() < last:
         if monotonic() >= linger_until:
-            node.caller_server.start_draining()
+            if not node.entry.closing:
+                node.entry.closing = True
+                node.caller_server.start_draining()
             if not node.busy():
                 break
         await asyncio.sleep(POLL_S)
--- a/goldcresthoist/node/services.py
+++ b/goldcresthoist/node/services.py
@@ -94,7 +94,11 @@
         earlier = self.views.get(record.ip)
         if earlier is not None:
             service, view = earlier
+            if service == record.service:
+                # Its daemon started again; the link follows it with the same view.
+                return
             self.service(service).pool.discard(view.instance)
+            self.links.drop(record.ip)
         now = monotonic()
         view = UpstreamView(record.ip, record.failure_domain, record.region, now)
         # Nothing is sent there before the daemon has said that its upstream is ready.
