--- a/goldcresthoist/balance/pace.py
+++ b/goldcresthoist/balance/pace.py
@@ -9,6 +9,8 @@
 MEAN_PACE = 2.5
 MEAN_WEIGHT = 0.02
 LARGEST_PACE = 100.0
+# The pace counts as usual between these.
+USUAL_LOW, USUAL_HIGH = 0.9, 1.1
 
 
 def aged_pace(pace, age_s, mean):
@@ -22,13 +24,15 @@
 class PaceGauge:
     """The last figure that the own upstream gave, and their mean."""
 
-    __slots__ = ("known", "mean", "pace", "pace_time")
+    __slots__ = ("known", "mean", "pace", "pace_time", "unusual_at")
 
     def __init__(self):
         self.pace = 0.0
         self.pace_time = 0.0
         self.mean = MEAN_PACE
         self.known = False
+        # When the pace was last seen to be another than the usual one.
+        self.unusual_at = float("-inf")
 
     def record(self, pace, now):
         """Take over a figure; 0 says nothing."""
@@ -40,6 +44,8 @@
             self.mean = min(MEAN_PACE, pace)
         self.pace = pace
         self.pace_time = now
+        if not USUAL_LOW <= pace <= USUAL_HIGH:
+            self.unusual_at = now
         self.mean += MEAN_WEIGHT * (pace - self.mean)
 
     def expected(self, now):
@@ -48,6 +54,10 @@
             return 1.0
         return aged_pace(self.pace, now - self.pace_time, self.mean)
 
+    def was_usual(self, since, within_s):
+        """Return whether nothing else was seen from shortly before ``since`` on."""
+        return self.known and self.unusual_at < since - within_s
+
     def is_slow(self, now, ratio, within_s):
         """Return whether a figure of the last ``within_s`` seconds reaches it."""
         return self.pace >= ratio and now - self.pace_time <= within_s
--- a/goldcresthoist/balance/shared_budget.py
+++ b/goldcresthoist/balance/shared_budget.py
@@ -54,3 +54,7 @@
             return False
         self.tokens = tokens - 1.0
         return True
+
+    def give_back(self):
+        """Return the token of a retry that reached no upstream."""
+        self.tokens = min(self.most, self.available() + 1.0)
--- a/goldcresthoist/balance/slots.py
+++ b/goldcresthoist/balance/slots.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass
 
 from goldcresthoist.balance.errors import Draining, Saturated
+from goldcresthoist.balance.knee import KneeGauge
 from goldcresthoist.balance.pace import PaceGauge
 
 __all__ = ["SlotCall", "SlotQueue"]
@@ -69,12 +70,15 @@
     def __init__(self, slots=1):
         self.slots = slots
         self.pace = PaceGauge()
+        self.knee = KneeGauge()
         self.running = 0
         self.waiting = []
         self.service_s = {}
         self.draining = False
         self.held_until = 0.0
         self.arrivals = 0
+        # Called when the upstream was found to turn slower near its last slots.
+        self.on_knee = lambda: None
 
     def mean_service_s(self):
         """Return the usual time of a call at usual pace, over all work."""
@@ -98,9 +102,10 @@
 
     def limit_for(self, short):
         """Return how many calls may run when one more of this length starts."""
+        limit = self.knee.limit(self.slots)
         if short or not any(map(self.is_short, self.service_s)):
-            return self.slots
-        return max(1, self.slots - int(SHORT_SLOTS_SHARE * self.slots))
+            return limit
+        return max(1, limit - int(SHORT_SLOTS_SHARE * limit))
 
     def expected_wait_s(self, call, now):
         """Return the expected wait of a new call behind those that go before it."""
@@ -152,8 +157,24 @@
         self.running -= 1
         self.fill(now)
 
-    def record(self, work, taken_s, pace_before, now):
-        """Count the time that a call took, between two figures of the pace."""
+    def record(self, work, taken_s, pace_before, running, now):
+        """Count the time that a call took.
+
+        Parameters
+        ----------
+        work : str
+        taken_s : float
+        pace_before : float
+            The pace that was expected when it started.
+        running : int
+            Calls that ran when it started.
+        now : float
+        """
+        if self.pace.was_usual(now - taken_s, SLOW_WITHIN_S):
+            was_found = self.knee.found
+            self.knee.record(work, taken_s, running, self.slots)
+            if self.knee.found and not was_found:
+                self.on_knee()
         pace = max(0.2, (pace_before + self.pace.expected(now)) / 2.0)
         sample = taken_s / pace
         known = self.service_s.get(work)
--- a/goldcresthoist/balance/tests/test_slots.py
+++ b/goldcresthoist/balance/tests/test_slots.py
@@ -140,3 +140,37 @@
         queue.abandon(future)
         queue.release(0.0)
         self.assertEqual((queue.running, queue.waiting), (3, []))
+
+
+class KneeTest(unittest.TestCase):
+    def run_work(self, slower):
+        queue = SlotQueue(12)
+        queue.pace.record(1.0, 0.0)
+        for number in range(40):
+            running = 11 if number % 2 else 5
+            taken_s = 0.1 * (slower if running == 11 else 1.0)
+            queue.record("lookup", taken_s, 1.0, running, 10.0 + number)
+        return queue
+
+    def test_upstream_that_turns_slower_is_kept_below(self):
+        """Guards against 12 running calls that answer less than 9 would.
+
+        On spb-crates work takes 1.7 times longer with over 0.8 of the slots in use.
+        """
+        self.assertEqual(self.run_work(1.7).limit_for(True), 9)
+
+    def test_other_upstreams_use_all_slots(self):
+        """Guards against slots left idle at a crest where nothing turns slower."""
+        self.assertEqual(self.run_work(1.1).limit_for(True), 12)
+
+    def test_slow_moments_prove_nothing(self):
+        """Guards against a neighbour's load taken for the upstream's own."""
+        queue = SlotQueue(12)
+        queue.pace.record(1.0, 0.0)
+        for number in range(40):
+            running = 11 if number % 2 else 5
+            now = 10.0 + number
+            queue.pace.record(7.0 if running == 11 else 1.0, now - 0.05)
+            queue.record("lookup", 0.7 if running == 11 else 0.1, 1.0, running, now)
+            queue.pace.record(1.0, now)
+        self.assertFalse(queue.knee.found)
--- a/goldcresthoist/node/request.py
+++ b/goldcresthoist/node/request.py
@@ -348,6 +348,8 @@
             case Refuse():
                 if outcome.code == "upstream-refused":
                     self.runs += 1
+                elif attempt.hedge:
+                    self.service.budget.give_back()
                 self.retry_after_s = max(
                     self.retry_after_s, outcome.retry_after_ms / 1000.0
                 )
--- a/goldcresthoist/node/run.py
+++ b/goldcresthoist/node/run.py
@@ -84,6 +84,7 @@
         server.running.add(self)
         started = monotonic()
         pace_before = server.queue.pace.expected(started)
+        running = server.queue.running
         succeeded = False
         try:
             async with asyncio.timeout_at(self._loop_deadline(started)):
@@ -102,7 +103,7 @@
             now = monotonic()
             if succeeded:
                 server.queue.record(
-                    self.slot_call.work, now - started, pace_before, now
+                    self.slot_call.work, now - started, pace_before, running, now
                 )
             self._release()
             server.queue.release(now)
--- a/goldcresthoist/node/serving.py
+++ b/goldcresthoist/node/serving.py
@@ -47,6 +47,7 @@
         self.counters = counters
         self.log = log
         self.queue = SlotQueue()
+        self.queue.on_knee = self._note_knee
         self.draining = False
         self.loop = asyncio.get_running_loop()
         self.running = set()
@@ -222,6 +223,10 @@
         self.log.event("upstream connection", down=self.pool.down)
         self.announce_load()
 
+    def _note_knee(self):
+        limit = self.queue.knee.limit(self.queue.slots)
+        self.log.event("slower when nearly full", slots=self.queue.slots, limit=limit)
+
     def _close_idle(self):
         """Close connections to an earlier run of the upstream."""
         for connection in tuple(self.pool.idle):
