--- a/goldcresthoist/balance/slots.py
+++ b/goldcresthoist/balance/slots.py
@@ -27,7 +27,7 @@
 HOPELESS_SHARE = 0.5
 QUEUE_PER_SLOT = 2
 # Times vary, so a call is taken only when it is expected to end well before its aim.
-SAFE_SHARE = 0.7
+SAFE_SHARE = 0.5
 # Work is short when it takes at most this share of what a busy slot usually holds.
 # Mostly it is called by work that holds a slot elsewhere all the while, so that its
 # refusal wastes more than itself.
