Stand-ins for the platform's store and upstreams; tests of the whole path

Sixteen tests with a store, three daemons and their upstreams on loopback addresses: each kind of request, spoiled answers, departures, restarts, the store away.

--- /dev/null
+++ b/goldcresthoist/node/tests/site.py
@@ -0,0 +1,204 @@
+"""A small site on loopback addresses: a store, daemons and their upstreams."""
+
+import asyncio
+import base64
+import itertools
+import json
+import random
+from time import monotonic
+
+from goldcresthoist.node.assembly import Node
+from goldcresthoist.platform import NodeSettings
+from goldcresthoist.tests.standins.platform_store import PlatformStore
+from goldcresthoist.tests.standins.platform_target import PlatformTarget
+
+__all__ = ["Answer", "Site", "configuration", "settings_text", "wait_until"]
+
+# Each site has loopback addresses of its own, so that sites of processes that run at
+# the same time cannot meet.
+_networks = itertools.count()
+_BASE = random.randint(1, 200)
+STORE_PORT = 8627
+WAIT_S = 30.0
+
+
+def settings_text(ip, service, store, domain="a"):
+    """Return the settings file of one daemon."""
+    return f"""
+[self]
+node_name = "node-{ip}"
+ip = "{ip}"
+zone = "{domain}"
+region = "r"
+app_addr = "{ip}:8628"
+service = "{service}"
+[network]
+inner_port_range = [7600, 7615]
+[network.listen]
+outbound = "{ip}:8629"
+readiness_addr = "{ip}:8625"
+control = "{ip}:8620"
+[platform.platform]
+address = "{store}"
+[terms.bounds]
+grace_s = 6
+"""
+
+
+def configuration(version=1, **changes):
+    """Return a configuration with one route of each kind."""
+
+    def route(name, prefix, kind, service):
+        return {
+            "name": name,
+            "host": "site.example",
+            "prefix": prefix,
+            "kind": kind,
+            "timeout_s": 2.0,
+            "aim_s": 1.0,
+            "priority": 1,
+            "service": service,
+            "max_attempts": 3,
+        } | changes
+
+    routes = [
+        route("read", "/read/", "idempotent", "listen"),
+        route("write", "/write/", "non_idempotent", "ledger"),
+        route("upload", "/upload/", "upload", "ledger"),
+    ]
+    return {"version": version, "routes": routes, "services": [], "limits": {}}
+
+
+class Answer:
+    """What a caller got: status 0 when the connection ended without an answer."""
+
+    def __init__(self, status, headers, body):
+        self.status = status
+        self.headers = headers
+        self.body = body
+
+
+class Site:
+    """Daemons in this process; ``services`` names the upstream beside each."""
+
+    def __init__(self, services):
+        network = f"127.{_BASE}.{next(_networks) % 250}"
+        self.ips = [f"{network}.{number + 10}" for number in range(len(services))]
+        self.services = services
+        self.store = PlatformStore()
+        self.store_host = f"{network}.2"
+        self.nodes = {}
+        self.targets = {}
+        self.ids = itertools.count(1)
+
+    async def start(self):
+        """Start everything and wait until the daemons are ready for calls."""
+        await self.store.start(self.store_host, STORE_PORT)
+        self.configure(configuration())
+        for ip, service in zip(self.ips, self.services):
+            await self.start_node(ip, service)
+            await self.start_target(ip, service)
+        await wait_until(self.settled)
+
+    def settled(self):
+        """Return whether each daemon can call each upstream."""
+        return all(
+            node.is_ready()
+            and len(node.directory.members) == len(self.nodes)
+            and all(
+                node.services.others(service, monotonic(), ()) == len(service.pool)
+                for service in node.services.services.values()
+            )
+            for node in self.nodes.values()
+        )
+
+    def configure(self, document):
+        """Write a configuration as the operator does."""
+        value = base64.b64encode(json.dumps(document).encode()).decode()
+        self.store.put("op", "config", value)
+
+    async def start_node(self, ip, service):
+        """Start a daemon."""
+        text = settings_text(ip, service, f"{self.store_host}:{STORE_PORT}")
+        node = self.nodes[ip] = Node(NodeSettings.from_text(text))
+        node.log.descriptor = -1
+        await node.listen()
+        node.background = [asyncio.create_task(node.registration.run())]
+        node.watch.start()
+        return node
+
+    async def stop_node(self, ip):
+        """End a daemon at once."""
+        node = self.nodes.pop(ip)
+        for task in node.background:
+            task.cancel()
+        await node.close()
+        # The loop frees the ports a moment later.
+        await asyncio.sleep(0.1)
+
+    async def start_target(self, ip, service, identity=None):
+        """Start the upstream beside a daemon."""
+        identity = identity or f"i-{ip}"
+        target = PlatformTarget(identity, service, f"{ip}:8628", f"{ip}:8620")
+        self.targets[ip] = target
+        await target.start()
+        return target
+
+    async def stop(self):
+        """End everything."""
+        for ip in tuple(self.nodes):
+            await self.stop_node(ip)
+        for target in self.targets.values():
+            await target.stop()
+        await self.store.stop()
+
+    def runs(self):
+        """Return the ids of all requests that ran, once for each run."""
+        return [run[0] for target in self.targets.values() for run in target.runs]
+
+    async def call(self, ip, path, method="GET", body=b"", wait_ms=3000, headers=()):
+        """Send one request as a caller on the instance; return `(id, Answer)`."""
+        request_id = f"q{next(self.ids)}"
+        reader, writer = await asyncio.open_connection(ip, 8629)
+        try:
+            lines = [f"{method} {path} HTTP/1.1", "Host: site.example"]
+            lines.append(f"Request-Id: {request_id}")
+            lines.append(f"Deadline-Ms: {wait_ms}")
+            lines.extend(headers)
+            if body:
+                lines.append(f"Content-Length: {len(body)}")
+            writer.write("\r\n".join(lines).encode() + b"\r\n\r\n" + body)
+            return request_id, await read_answer(reader)
+        finally:
+            writer.close()
+
+
+async def read_answer(reader):
+    """Read one answer; one that breaks off has status 0."""
+    try:
+        head = await reader.readuntil(b"\r\n\r\n")
+        lines = head.decode().split("\r\n")
+        headers = dict(line.lower().split(": ", 1) for line in lines[1:] if line)
+        if "content-length" in headers:
+            body = await reader.readexactly(int(headers["content-length"]))
+        else:
+            body = await _read_chunks(reader)
+    except (asyncio.IncompleteReadError, OSError):
+        return Answer(0, {}, b"")
+    return Answer(int(lines[0].split()[1]), headers, body)
+
+
+async def _read_chunks(reader):
+    parts = []
+    while size := int(await reader.readuntil(b"\r\n"), 16):
+        parts.append(await reader.readexactly(size))
+        await reader.readexactly(2)
+    await reader.readexactly(2)
+    return b"".join(parts)
+
+
+async def wait_until(condition):
+    """Wait until ``condition()`` is true."""
+    async with asyncio.timeout(WAIT_S):
+        while not condition():  # noqa: ASYNC110
+            await asyncio.sleep(0.02)
--- /dev/null
+++ b/goldcresthoist/node/tests/test_path.py
@@ -0,0 +1,166 @@
+"""Tests of the whole path between a store, daemons and upstreams on loopback."""
+
+import asyncio
+import unittest
+from collections import Counter
+
+from goldcresthoist.node.tests.site import Site, configuration, wait_until
+from goldcresthoist.tests.standins.platform_target import seal_of
+
+
+class PathTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self):
+        self.site = Site(["listen", "listen", "ledger"])
+        await self.site.start()
+        self.first, self.second, self.third = self.site.ips
+
+    async def asyncTearDown(self):
+        await self.site.stop()
+
+    def assert_served(self, request_id, answer):
+        """Check that the answer is the whole answer to this request."""
+        self.assertEqual(answer.status, 200)
+        identity, _, named = answer.body.decode().partition(" of ")
+        self.assertEqual(named, request_id)
+        seal = seal_of(identity, request_id, answer.body)
+        self.assertEqual(answer.headers["response-seal"], seal)
+
+    async def test_requests_of_each_kind(self):
+        """Guards against a kind of request that is not served on every instance."""
+        for ip in self.site.ips:
+            self.assert_served(*await self.site.call(ip, "/read/1"))
+            self.assert_served(
+                *await self.site.call(ip, "/write/1", "POST", b"x" * 300)
+            )
+            body = bytes(360_000)
+            self.assert_served(*await self.site.call(ip, "/upload/1", "PUT", body))
+        uploads = [
+            run[3] for run in self.site.targets[self.third].runs if "upload" in run[2]
+        ]
+        self.assertEqual([len(body) for body in uploads], [360_000] * 3)
+
+    async def test_unknown_routes_are_refused(self):
+        """Guards against requests that are passed on without a route."""
+        _, answer = await self.site.call(self.first, "/other/1")
+        self.assertEqual(answer.status, 404)
+        self.assertEqual(self.site.runs(), [])
+
+    async def test_headers_over_the_limit(self):
+        """Guards against headers that fill the memory."""
+        self.site.configure(configuration(2) | {"limits": {"max_header_bytes": 2000}})
+        await wait_until(lambda: self.site.nodes[self.first].watch.version == 2)
+        _, answer = await self.site.call(
+            self.first, "/read/1", headers=[f"X-Long: {'y' * 3000}"]
+        )
+        self.assertEqual(answer.status, 431)
+
+    async def test_body_over_the_limit(self):
+        """Guards against bodies that nobody wants."""
+        self.site.configure(configuration(2) | {"limits": {"max_body_bytes": 100}})
+        await wait_until(lambda: self.site.nodes[self.first].watch.version == 2)
+        _, answer = await self.site.call(self.first, "/upload/1", "PUT", b"x" * 200)
+        self.assertEqual(answer.status, 413)
+
+    async def test_spoiled_answers_of_reads_are_replaced(self):
+        """Guards against an answer that is broken, foreign or not sealed."""
+        for fault in ("close", "truncate", "unsealed"):
+            with self.subTest(fault=fault):
+                _, answer = await self.site.call(self.first, f"/read/1?fault={fault}")
+                # Both upstreams spoil it, so the caller is told of a failure.
+                self.assertEqual(answer.status, 502)
+
+    async def test_second_answers_are_dropped(self):
+        """Guards against bytes of an earlier request in the answer to a later one."""
+        for _ in range(5):
+            self.assert_served(*await self.site.call(self.first, "/read/1?fault=extra"))
+            self.assert_served(*await self.site.call(self.first, "/read/2"))
+
+    async def test_answer_without_length(self):
+        """Guards against a complete answer that is refused for its framing."""
+        self.assert_served(*await self.site.call(self.first, "/read/1?fault=unframed"))
+
+    async def test_what_may_not_be_repeated_runs_once(self):
+        """Guards against a second run after an answer that was lost."""
+        request_id, answer = await self.site.call(
+            self.first, "/write/1?fault=close", "POST", b"x"
+        )
+        self.assertEqual(answer.status, 502)
+        self.assertEqual(Counter(self.site.runs())[request_id], 1)
+
+    async def test_refusal_of_the_upstream_is_no_run(self):
+        """Guards against a 502 for what certainly did not run."""
+        request_id, answer = await self.site.call(
+            self.first, "/write/1?fault=shed", "POST", b"x"
+        )
+        self.assertEqual(answer.status, 503)
+        self.assertIn("retry-after", answer.headers)
+        self.assertNotIn(request_id, self.site.runs())
+
+    async def test_time_out_of_the_route(self):
+        """Guards against a request that is held beyond its route's time."""
+        self.site.configure(configuration(2, timeout_s=0.3))
+        await wait_until(lambda: self.site.nodes[self.first].watch.version == 2)
+        _, answer = await self.site.call(self.first, "/write/1?ms=5000", "POST", b"x")
+        self.assertEqual(answer.status, 504)
+
+    async def test_caller_that_leaves_frees_the_upstream(self):
+        """Guards against reads that run on for nobody."""
+        task = asyncio.create_task(self.site.call(self.first, "/read/1?ms=20000"))
+        await wait_until(lambda: any(t.running for t in self.site.targets.values()))
+        task.cancel()
+        await wait_until(lambda: not any(t.running for t in self.site.targets.values()))
+
+    async def test_draining_upstream_gets_no_new_work(self):
+        """Guards against work sent after the acknowledgement."""
+        target = self.site.targets[self.first]
+        await target.drain()
+        for _ in range(10):
+            self.assert_served(*await self.site.call(self.first, "/read/1"))
+        self.assertEqual(target.runs, [])
+
+    async def test_restarted_daemon_remembers_a_departure(self):
+        """Guards against work for an upstream that an earlier process let go."""
+        target = self.site.targets[self.first]
+        await target.drain()
+        await self.site.stop_node(self.first)
+        target.state = "ready"
+        await self.site.start_node(self.first, "listen")
+        await wait_until(
+            lambda: self.site.nodes[self.first].own.identity or target.sequence > 15
+        )
+        _, answer = await self.site.call(self.second, "/read/1")
+        self.assertEqual(answer.status, 200)
+        self.assertEqual(target.runs, [])
+
+    async def test_restarted_daemon_serves_again(self):
+        """Guards against a daemon that the others do not use after its restart."""
+        await self.site.stop_node(self.third)
+        _, answer = await self.site.call(self.first, "/write/1", "POST", b"x")
+        self.assertEqual(answer.status, 503)
+        await self.site.start_node(self.third, "ledger")
+        await wait_until(self.site.settled)
+        self.assert_served(*await self.site.call(self.first, "/write/1", "POST", b"x"))
+
+    async def test_configuration_reaches_all_and_never_goes_back(self):
+        """Guards against daemons that act by different versions."""
+        self.site.configure(configuration(5))
+        await wait_until(
+            lambda: all(n.watch.version == 5 for n in self.site.nodes.values())
+        )
+        self.site.configure(configuration(4))
+        await asyncio.sleep(0.5)
+        self.assertEqual({n.watch.version for n in self.site.nodes.values()}, {5})
+
+    async def test_store_away(self):
+        """Guards against requests that need the store, and against a blind start."""
+        self.site.store.faults = {"down": True}
+        self.assert_served(*await self.site.call(self.first, "/read/1"))
+        await self.site.stop_node(self.third)
+        await asyncio.sleep(2.5)
+        await self.site.start_node(self.third, "ledger")
+        await asyncio.sleep(0.6)
+        _, answer = await self.site.call(self.third, "/read/1")
+        self.assertEqual(answer.status, 503)
+        self.site.store.faults = {}
+        await wait_until(self.site.settled)
+        self.assert_served(*await self.site.call(self.third, "/read/1"))
--- /dev/null
+++ b/goldcresthoist/tests/standins/platform_store.py
@@ -0,0 +1,132 @@
+"""Stand-in for the store of the users' platform, with faults.
+
+Run ``python -m goldcresthoist.tests.standins.platform_store --host IP --port N``.
+``POST /-/faults`` sets ``down`` (every call answers 503), ``silent`` (no answer),
+``lose_answers`` (that many writes take effect without an answer) and ``delay_s``;
+``forget`` drops the rows of a table, as an outage of the store may.
+"""
+
+import argparse
+import asyncio
+
+from aiohttp import web
+
+__all__ = ["PlatformStore", "main"]
+
+POLL_S = 0.01
+
+
+class PlatformStore:
+    """Rows in tables, by the calls that the daemons use."""
+
+    def __init__(self):
+        self.version = 0
+        # (value, version, removed) by (table, key).
+        self.rows = {}
+        self.faults = {}
+        self.calls = 0
+        self.runner = None
+
+    async def start(self, host, port):
+        """Listen."""
+        app = web.Application()
+        app.router.add_post("/-/faults", self._set_faults)
+        app.router.add_get("/rows-get", self._get)
+        app.router.add_get("/rows-feed", self._feed)
+        app.router.add_post("/rows-tx", self._tx)
+        self.runner = web.AppRunner(app, access_log=None, shutdown_timeout=0.1)
+        await self.runner.setup()
+        await web.TCPSite(self.runner, host, port, reuse_address=True).start()
+
+    async def stop(self):
+        """Stop listening."""
+        await self.runner.cleanup()
+
+    def put(self, table, key, value):
+        """Write a row as the operator does; ``value`` is base64 text."""
+        self.version += 1
+        self.rows[(table, key)] = (value, self.version, False)
+
+    async def _set_faults(self, request):
+        self.faults = await request.json()
+        table = self.faults.pop("forget", None)
+        for key in [key for key in self.rows if key[0] == table]:
+            del self.rows[key]
+        return web.Response()
+
+    async def _fault(self):
+        self.calls += 1
+        await asyncio.sleep(self.faults.get("delay_s", 0))
+        while self.faults.get("silent"):  # noqa: ASYNC110
+            await asyncio.sleep(POLL_S)
+        if self.faults.get("down"):
+            raise web.HTTPServiceUnavailable
+
+    async def _get(self, request):
+        await self._fault()
+        first = request.query.get("from", "")
+        table = request.query["table"]
+        return self._answer(
+            (key, row)
+            for key, row in sorted(self.rows.items())
+            if key[0] == table and key[1] >= first and not row[2]
+        )
+
+    async def _feed(self, request):
+        await self._fault()
+        after = int(request.query["after"])
+        loop = asyncio.get_running_loop()
+        until = loop.time() + int(request.query["wait_ms"]) / 1000
+        while True:
+            changed = [
+                (key, row)
+                for key, row in self.rows.items()
+                if key[0] == request.query["table"] and row[1] > after
+            ]
+            if changed or loop.time() >= until:
+                changed.sort(key=lambda item: item[1][1])
+                return self._answer(changed)
+            await asyncio.sleep(POLL_S)
+
+    async def _tx(self, request):
+        await self._fault()
+        body = await request.json()
+        for row in body["expect"]:
+            known = self.rows.get((row["table"], row["key"]))
+            if (known[1] if known else 0) != row["ver"]:
+                return web.json_response({"ver": self.version}, status=412)
+        for row in body["upserts"]:
+            self.put(row["table"], row["key"], row["value"])
+        for row in body["remove"]:
+            self.rows.pop((row["table"], row["key"]), None)
+        if self.faults.get("lose_answers", 0) > 0:
+            self.faults["lose_answers"] -= 1
+            request.transport.abort()
+        return web.json_response({"ver": self.version, "now_s": 0.0})
+
+    def _answer(self, rows):
+        found = [
+            {"key": key, "value": value, "ver": version, "deleted": removed}
+            for (_, key), (value, version, removed) in rows
+        ]
+        return web.json_response(
+            {"rows": found, "truncated": False, "ver": self.version, "now_s": 0.0}
+        )
+
+
+async def _serve(host, port):
+    await PlatformStore().start(host, port)
+    await asyncio.Event().wait()
+
+
+def main():
+    """Run the stand-in until it is killed."""
+    parser = argparse.ArgumentParser()
+    parser.add_argument("--host", required=True)
+    parser.add_argument("--port", type=int, required=True)
+    arguments = parser.parse_args()
+    asyncio.run(_serve(arguments.host, arguments.port))
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/goldcresthoist/tests/standins/platform_target.py
@@ -0,0 +1,205 @@
+"""Stand-in for an upstream on the users' platform.
+
+It runs a request for ``ms`` milliseconds (query), seals its answer, tells its load and
+writes one line for each run to a file, so that a test can compare what callers were
+told with what ran. ``fault`` in the query: ``status`` (500), ``close`` (no answer after
+it ran), ``truncate``, ``extra`` (a second answer), ``unframed``, ``shed`` (503, not
+run), ``unsealed``.
+"""
+
+import asyncio
+import json
+import time
+from urllib.parse import parse_qsl
+
+import httptools
+
+__all__ = ["PlatformTarget", "seal_of"]
+
+
+def seal_of(identity, request_id, body):
+    """Return the signature of an answer."""
+    return f"{identity}.{request_id}.{len(body)}"
+
+
+class PlatformTarget:
+    """One upstream; announces itself to the daemon beside it.
+
+    Parameters
+    ----------
+    identity, service : str
+    address : str
+        ``"ip:port"`` that it listens on.
+    announce_to : str
+        The daemon's address for announcements.
+    """
+
+    def __init__(self, identity, service, address, announce_to, slots=4):
+        self.identity = identity
+        self.service = service
+        self.address = address
+        self.announce_to = announce_to
+        self.slots = slots
+        self.born_ms = int(time.time() * 1000)
+        self.sequence = 0
+        self.state = "ready"
+        self.running = 0
+        # (request id, monotonic time, target, body) of every run.
+        self.runs = []
+        self.rejected = 0
+        self.acknowledged_at = None
+        self.connections = set()
+        self.listener = None
+        self.beats = None
+
+    async def start(self):
+        """Listen and announce."""
+        host, port = self.address.split(":")
+        loop = asyncio.get_running_loop()
+        self.listener = await loop.create_server(
+            lambda: _Connection(self), host, int(port)
+        )
+        self.beats = loop.create_task(self._beat())
+
+    async def stop(self):
+        """End at once, like a process that crashes."""
+        self.beats.cancel()
+        self.listener.close()
+        for connection in tuple(self.connections):
+            connection.transport.abort()
+        await asyncio.sleep(0)
+
+    async def drain(self):
+        """Say that it leaves until that is acknowledged."""
+        self.state = "draining"
+        while not await self.announce():  # noqa: ASYNC110
+            await asyncio.sleep(0.05)
+        self.acknowledged_at = time.monotonic()
+
+    async def announce(self):
+        """Send one heartbeat; return whether it was acknowledged."""
+        self.sequence += 1
+        body = json.dumps(
+            {
+                "address": self.address,
+                "info": {"service": self.service, "slots": self.slots, "zone": "a"},
+                "status": {
+                    "state": self.state,
+                    "sequence": self.sequence,
+                    "cold_left_s": 0,
+                },
+                "born": self.born_ms,
+            }
+        ).encode()
+        path = f"/Instances.Heartbeat/{self.identity}"
+        return await self._post(path, body)
+
+    async def _beat(self):
+        while True:
+            await self.announce()
+            await asyncio.sleep(0.2)
+
+    async def _post(self, path, body):
+        host, port = self.announce_to.split(":")
+        try:
+            async with asyncio.timeout(1.0):
+                reader, writer = await asyncio.open_connection(host, int(port))
+                try:
+                    head = f"POST {path} HTTP/1.1\r\nHost: x\r\n"
+                    head += f"Content-Length: {len(body)}\r\n\r\n"
+                    writer.write(head.encode() + body)
+                    line = await reader.readline()
+                finally:
+                    writer.close()
+        except (OSError, TimeoutError):
+            return False
+        return line.startswith(b"HTTP/1.1 2")
+
+
+class _Connection(asyncio.Protocol):
+    def __init__(self, target):
+        self.target = target
+        self.transport = None
+        self.parser = httptools.HttpRequestParser(self)
+        self.headers = {}
+        self.url = b""
+        self.body = b""
+        self.task = None
+
+    def connection_made(self, transport):
+        self.transport = transport
+        self.target.connections.add(self)
+
+    def connection_lost(self, exc):
+        self.target.connections.discard(self)
+        if self.task is not None:
+            self.task.cancel()
+
+    def data_received(self, data):
+        self.parser.feed_data(data)
+
+    def on_message_begin(self):
+        self.headers = {}
+        self.url = self.body = b""
+
+    def on_url(self, url):
+        self.url += url
+
+    def on_header(self, name, value):
+        self.headers[name.decode().lower()] = value.decode()
+
+    def on_body(self, data):
+        self.body += data
+
+    def on_message_complete(self):
+        self.task = asyncio.get_running_loop().create_task(self._run())
+
+    async def _run(self):
+        target = self.target
+        request_id = self.headers.get("request-id", "")
+        query = dict(parse_qsl(self.url.decode().partition("?")[2]))
+        fault = query.get("fault", "")
+        if self.headers.get("expect-instance") != target.identity:
+            self._write(421, b"", [("Not-Executed", "1")])
+            return
+        if fault == "shed" or target.running >= target.slots:
+            target.rejected += 1
+            self._write(503, b"", [("Not-Executed", "1")])
+            return
+        run = (request_id, time.monotonic(), self.url.decode(), self.body)
+        target.runs.append(run)
+        target.running += 1
+        try:
+            await asyncio.sleep(float(query.get("ms", 0)) / 1000)
+        finally:
+            target.running -= 1
+        body = b"%b of %b" % (target.identity.encode(), request_id.encode())
+        self._answer(fault, request_id, body)
+
+    def _answer(self, fault, request_id, body):
+        seal = seal_of(self.target.identity, request_id, body)
+        headers = [] if fault == "unsealed" else [("Response-Seal", seal)]
+        if fault == "close":
+            self.transport.abort()
+        elif fault == "truncate":
+            self._write(200, body, headers, length=len(body) + 10)
+            self.transport.close()
+        elif fault == "unframed":
+            self._write(200, body, headers, length=None)
+            self.transport.close()
+        elif fault == "status":
+            self._write(500, body, headers)
+        else:
+            self._write(200, body, headers)
+            if fault == "extra":
+                self._write(200, b"junk", headers)
+
+    def _write(self, status, body, headers, length=-1):
+        target = self.target
+        lines = [f"HTTP/1.1 {status} X", f"Server-Load: {target.running},0,4,100"]
+        if "request-id" in self.headers:
+            lines.append(f"Request-Id: {self.headers['request-id']}")
+        lines.extend(f"{name}: {value}" for name, value in headers)
+        if length is not None:
+            lines.append(f"Content-Length: {len(body) if length < 0 else length}")
+        self.transport.write("\r\n".join(lines).encode() + b"\r\n\r\n" + body)
