--- a/goldcresthoist/balance/paced.py
+++ b/goldcresthoist/balance/paced.py
@@ -66,8 +66,22 @@
         work_s *= 1.0 + SPREAD_SHARE * min(share, 1.0)
         if load > slots:
             work_s += (load - slots) * rule.usual_s * pace / slots
+        return work_s + self._failure_share(view, now) * rule.longest_s
+
+    def _failure_share(self, view, now):
+        """Return the share of calls that are expected to fail at the upstream.
+
+        The daemon beside it sees the failures of everybody and tells them long before
+        this one has met as many.
+        """
         fade = 0.5 ** (max(0.0, now - view.failed_at) / FAILURE_HALF_LIFE_S)
-        return work_s + view.failure_share * fade * rule.longest_s
+        share = view.failure_share * fade
+        report = view.report
+        if report is not None and report.failure_share > share:
+            age_s = max(0.0, now - view.report_age_from)
+            told = report.failure_share * 0.5 ** (age_s / FAILURE_HALF_LIFE_S)
+            share = max(share, told)
+        return share
 
     def record_load(self, view, load, now):
         """Take over a load report with the pace in it."""
--- a/goldcresthoist/balance/tests/test_paced.py
+++ b/goldcresthoist/balance/tests/test_paced.py
@@ -3,6 +3,8 @@
 import random
 import unittest
 
+import msgspec
+
 from goldcresthoist.balance import (
     Outcome,
     PacedChooser,
@@ -79,6 +81,17 @@
             self.chooser.record_load(self.views[name], make_report(), 200.0)
         self.assertIn("near", self.count(now=200.0))
 
+    def test_failures_told_by_the_daemon_beside_the_upstream_count(self):
+        """Guards against each entry daemon that must meet the failures itself.
+
+        Incident inc-0164 of tobar-mesh: two upstreams reset a part of their requests
+        while their announcements were good, and eleven daemons learned it one by one.
+        """
+        view = self.views["near"]
+        report = msgspec.structs.replace(make_report(), failure_share=0.4)
+        self.chooser.record_load(view, report, 1.0)
+        self.assertNotIn("near", self.count(now=1.0))
+
     def test_all_failing_upstreams_are_still_used(self):
         """Guards against a service lost because the services that it calls are full.
 
--- a/goldcresthoist/links/frames.py
+++ b/goldcresthoist/links/frames.py
@@ -52,6 +52,7 @@
     65,536; -1 when it is not known. ``failing`` tells that recent calls of everybody
     failed at the upstream. ``pace`` is how many times longer than usual work takes
     there, 0 when it is not known, and ``pace_age_ms`` how old that figure is.
+    ``failure_share`` is the share of recent calls of everybody that failed there.
     """
 
     in_flight: int
@@ -63,6 +64,7 @@
     failing: bool = False
     pace: float = 0.0
     pace_age_ms: int = 0
+    failure_share: float = 0.0
 
 
 class Challenge(msgspec.Struct, frozen=True, array_like=True, tag=1):
--- a/goldcresthoist/node/run.py
+++ b/goldcresthoist/node/run.py
@@ -184,6 +184,9 @@
         call = self.call
         body = answer.body
         good = 200 <= answer.status < 300
+        server = self.server
+        if good or answer.status >= 500:
+            server.record_end(not good, monotonic())
         if good and (not fields.sealed or fields.encoded):
             raise UpstreamBroken("the answer is not the upstream's own")
         data = await self._first_bytes(body)
@@ -249,6 +252,8 @@
             crashes=count,
         )
         server.counters.add("upstream_failures", kind=kind)
+        if kind != FailureKind.TIMED_OUT:
+            server.record_end(True, monotonic())
         if not call.done:
             call.fail(kind, str(error), server.load_report(), count)
 
--- a/goldcresthoist/node/serving.py
+++ b/goldcresthoist/node/serving.py
@@ -18,6 +18,10 @@
 EXPIRY_INTERVAL_S = 0.02
 # A new upstream takes about twice the usual time for its first seconds.
 COLD_PACE = 2.0
+# Weight of one call in the share of failed ones, and the time in which half of the
+# share is forgotten without calls.
+FAILURE_WEIGHT = 0.08
+FAILURE_HALF_LIFE_S = 3.0
 # A crash counts against the requests that ran; a third one stops them.
 MOST_CRASHES = 3
 
@@ -51,6 +55,8 @@
         self.draining = False
         self.loop = asyncio.get_running_loop()
         self.running = set()
+        self.failures = 0.0
+        self.ended_at = 0.0
         self.kept = set()
         # Set by `LinkServer`.
         self.announce_load = lambda: None
@@ -78,8 +84,20 @@
             False,
             round(pace, 2),
             min(60_000, int((now - gauge.pace_time) * 1000)),
+            round(self.failure_share(now), 2),
         )
 
+    def failure_share(self, now):
+        """Return the share of recent calls that failed; it fades without new ones."""
+        fade = 0.5 ** ((now - self.ended_at) / FAILURE_HALF_LIFE_S)
+        return self.failures * fade
+
+    def record_end(self, failed, now):
+        """Count the end of a call at the upstream."""
+        share = self.failure_share(now)
+        self.failures = share + FAILURE_WEIGHT * (float(failed) - share)
+        self.ended_at = now
+
     def load_for_pong(self):
         """Return the load to send with a pong."""
         return self.load_report()
