--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 PY := $(VENV)/bin/python
 STAMP := $(VENV)/.installed
 
-.PHONY: setup lint format test demo bench fuzz binary clean
+.PHONY: setup lint format test demo bench fuzz soak binary clean
 
 setup: $(STAMP)
 
@@ -34,6 +34,11 @@
 fuzz: $(STAMP)
 	$(PY) tools/fuzz.py
 
+# SEED=N repeats one run, SEEDS=N plays that many fresh ones.
+SEEDS ?= 5
+soak: $(STAMP)
+	$(PY) -m goldcresthoist.tests.soak $(if $(SEED),--seed $(SEED),--seeds $(SEEDS))
+
 binary: $(STAMP)
 	$(PY) tools/build_binary.py
 
--- a/goldcresthoist/cli/_commands.py
+++ b/goldcresthoist/cli/_commands.py
@@ -169,6 +169,7 @@
 
     Commands:
       daemon      run the daemon beside one upstream
+      node        run the daemon on the users' platform
       config      check, apply and show the configuration of a team
       status      show the state of a daemon
       operations  show and settle at-most-once operations and uploads
@@ -195,6 +196,17 @@
         """
         return Invocation(_status.run_daemon, settings)
 
+    @SetParseFn(str)
+    def node(self):
+        """Run the daemon on the users' platform, until SIGTERM.
+
+        Usage: goldcresthoist node
+
+        Its settings are in the file that GOLDCRESTHOIST_NODE_FILE names. Settings that
+        are not valid end it with status 2 and one line.
+        """
+        return Invocation(_status.run_node)
+
     @SetParseFn(str)
     def status(self, *, settings=None, address=None, json="False"):
         """Show the state of a daemon.
--- a/goldcresthoist/cli/_status.py
+++ b/goldcresthoist/cli/_status.py
@@ -12,6 +12,13 @@
 BOOLEANS = {"True": True, "False": False}
 
 
+def run_node():
+    """Run the daemon on the users' platform; return its exit status."""
+    from goldcresthoist.node import main
+
+    return main()
+
+
 def run_daemon(path):
     """Run the daemon until it has drained; return its exit status."""
     settings = Settings.from_file(path)
--- a/goldcresthoist/cli/tests/test_cli.py
+++ b/goldcresthoist/cli/tests/test_cli.py
@@ -21,6 +21,7 @@
 COMMANDS = (
     "",
     "daemon",
+    "node",
     "status",
     "config",
     "config check",
@@ -73,6 +74,14 @@
                 self.assertEqual(len(err.splitlines()), 1, err)
                 self.assertIn(text, err)
 
+    def test_node_without_settings_is_status_2(self):
+        """Guards against a daemon that starts with no idea of its instance."""
+        with mock.patch.dict("os.environ"):
+            os.environ.pop("GOLDCRESTHOIST_NODE_FILE", None)
+            status, _, error = run("node")
+        self.assertEqual(status, 2)
+        self.assertIn("GOLDCRESTHOIST_NODE_FILE is not set", error)
+
     def test_unreachable_daemon_is_status_1(self):
         status, _, err = run("status", "--address", "127.0.0.1:1")
         self.assertEqual((status, len(err.splitlines())), (1, 1))
--- a/goldcresthoist/node/assembly.py
+++ b/goldcresthoist/node/assembly.py
@@ -40,7 +40,8 @@
     The platform hands out no secret. The key keeps apart fleets that use other stores
     and rejects corrupted datagrams; it does not stop an attacker on the network.
     """
-    text = f"goldcresthoist fleet of {settings.store_address}"
+    host, _ = split_address(settings.store_address)
+    text = f"goldcresthoist fleet of {host}"
     return hashlib.blake2b(text.encode(), digest_size=32).digest()
 
 
--- /dev/null
+++ b/goldcresthoist/tests/soak/__init__.py
@@ -0,0 +1,1 @@
+"""Randomized fault soak: real daemons, faults from outside, promises checked."""
