Docs of the platform; one copy each of four functions that stood twice

open_operation, the fleet's size, the setting of announce_load, the making of the platform clients' connections; the sending of a request body's rest.

--- a/goldcresthoist/access/http.py
+++ b/goldcresthoist/access/http.py
@@ -47,6 +47,30 @@
         Longest time of one call, in seconds.
     """
 
+    @classmethod
+    def from_settings(cls, settings, url, service, gate, timeout_s):
+        """Make the connection to one service of the platform.
+
+        Parameters
+        ----------
+        settings : Settings
+            Region and access keys of a daemon.
+        url, service : str
+            Where the service is, and its name in signatures.
+        gate : CallGate
+        timeout_s : float
+            Time for one call, in seconds.
+        """
+        return cls(
+            url=url,
+            service=service,
+            region=settings.platform_region,
+            access_key=settings.access_key,
+            secret_key=settings.secret_key,
+            gate=gate,
+            timeout_s=timeout_s,
+        )
+
     def __init__(self, url, service, region, access_key, secret_key, gate, timeout_s):
         self.url = url.rstrip("/")
         self.gate = gate
--- a/goldcresthoist/daemon/assembly.py
+++ b/goldcresthoist/daemon/assembly.py
@@ -103,7 +103,6 @@
         self.link_server = LinkServer(
             settings.instance, self.key, self.server, self.counters
         )
-        self.server.announce_load = self.link_server.announce_load
         self.router = CallRouter(
             self.membership.view.local(),
             self.membership,
--- a/goldcresthoist/daemon/bootstrap.py
+++ b/goldcresthoist/daemon/bootstrap.py
@@ -140,7 +140,7 @@
     async def refresh(self):
         """Compare with the table now and then, for ever."""
         while True:
-            members = len(self.membership.random_members(1_000_000)) + 1
+            members = self.membership.live_count()
             period_s = min(MOST_REFRESH_S, FLEET_REFRESH_S * members)
             await asyncio.sleep(period_s * random.uniform(0.5, 1.5))
             await self._load_from_table()
@@ -220,7 +220,7 @@
         for item in items:
             if membership.member(item["instance"]) is None:
                 membership.greet(item["gossip_address"])
-        members = len(membership.random_members(1_000_000)) + 1
+        members = membership.live_count()
         longest_s = max(LONGEST_MEETING_S, FLEET_MEETING_S * members)
         pause_s = min(longest_s, 2 * pause_s)
 
--- a/goldcresthoist/daemon/upstream_call.py
+++ b/goldcresthoist/daemon/upstream_call.py
@@ -9,10 +9,10 @@
 from goldcresthoist.links.frames import MAX_BODY_BYTES, FailureKind
 from goldcresthoist.upstreams import (
     RequestWriter,
-    UpstreamBroken,
     UpstreamError,
     UpstreamTimedOut,
     UpstreamUnreachable,
+    send_rest,
 )
 
 __all__ = ["UpstreamCall"]
@@ -125,7 +125,9 @@
         self.connection.send(writer.start(), message.method == "HEAD")
         if not message.end:
             self.call.admit()
-            self.sender = asyncio.create_task(self._send_rest(writer))
+            self.sender = asyncio.create_task(
+                send_rest(self.connection, writer, self.call.body)
+            )
 
     async def relay(self, answer):
         """Pass the answer on as it arrives."""
@@ -181,14 +183,3 @@
             self.sender.cancel()
             self.connection.reusable = False
         self.upstream.release(self.connection)
-
-    async def _send_rest(self, writer):
-        body = self.call.body
-        try:
-            while data := await body.read():
-                await self.connection.send_body(writer.frame(data))
-            await self.connection.send_body(writer.finish())
-        except UpstreamBroken as exc:
-            self.connection.give_up(exc)
-        except Exception as exc:
-            self.connection.give_up(UpstreamBroken(f"the request broke off: {exc}"))
--- a/goldcresthoist/gossip/membership.py
+++ b/goldcresthoist/gossip/membership.py
@@ -190,6 +190,10 @@
         counts[own] = DomainCount(count.alive + 1, count.suspect, count.dead)
         return counts
 
+    def live_count(self):
+        """Return the number of live members, the own one included."""
+        return sum(count.alive for count in self.counts_by_domain().values())
+
     def subscribe(self, callback):
         """Call ``callback(member)`` whenever another member changes.
 
--- a/goldcresthoist/node/run.py
+++ b/goldcresthoist/node/run.py
@@ -19,6 +19,7 @@
     UpstreamError,
     UpstreamTimedOut,
     UpstreamUnreachable,
+    send_rest,
 )
 
 __all__ = ["UpstreamRun", "make_connection"]
@@ -157,7 +158,9 @@
         self.connection.send(data, message.method == "HEAD")
         if not message.end:
             self.call.admit()
-            self.sender = asyncio.create_task(self._send_rest(writer))
+            self.sender = asyncio.create_task(
+                send_rest(self.connection, writer, self.call.body)
+            )
 
     def _refused_by_upstream(self, answer, fields):
         """Refuse the call if the upstream did not run it; return whether it was."""
@@ -267,18 +270,6 @@
         if self.connection is not None:
             self.server.pool.release(self.connection)
 
-    async def _send_rest(self, writer):
-        body = self.call.body
-        connection = self.connection
-        try:
-            while data := await body.read():
-                await connection.send_body(writer.frame(data))
-            await connection.send_body(writer.finish())
-        except UpstreamBroken as exc:
-            connection.give_up(exc)
-        except Exception as exc:
-            connection.give_up(UpstreamBroken(f"the request broke off: {exc}"))
-
     def _loop_deadline(self, now):
         loop_now = asyncio.get_running_loop().time()
         return loop_now + max(0.0, self.slot_call.deadline - now)
--- a/goldcresthoist/objects/client.py
+++ b/goldcresthoist/objects/client.py
@@ -36,14 +36,8 @@
     @classmethod
     def from_settings(cls, settings):
         """Make a client from a daemon's settings."""
-        http = SignedHttp(
-            url=settings.objects_url,
-            service="s3",
-            region=settings.platform_region,
-            access_key=settings.access_key,
-            secret_key=settings.secret_key,
-            gate=CallGate("objects"),
-            timeout_s=CALL_TIMEOUT_S,
+        http = SignedHttp.from_settings(
+            settings, settings.objects_url, "s3", CallGate("objects"), CALL_TIMEOUT_S
         )
         return cls(http, settings.bucket)
 
--- a/goldcresthoist/operations/ledger.py
+++ b/goldcresthoist/operations/ledger.py
@@ -34,7 +34,7 @@
     Undecided,
 )
 
-__all__ = ["OperationLedger"]
+__all__ = ["OperationLedger", "open_operation"]
 
 # Records with their answers are at most 26 MiB then.
 SCAN_RECORDS = 100
@@ -194,7 +194,7 @@
         )
         records = [Record.from_item(service, item["sk"], item) for item in items]
         found = tuple(
-            _open_operation(record)
+            open_operation(record)
             for record in records
             if record.state == State.UNKNOWN
             or (record.state == State.STARTED and is_gone(record.owner))
@@ -286,7 +286,8 @@
     return record.state in _OPEN and record.start_nonce == operation.start_nonce
 
 
-def _open_operation(record):
+def open_operation(record):
+    """Return what operators are shown of an operation without a known end."""
     return OpenOperation(
         service=record.service,
         key=record.key,
--- a/goldcresthoist/operators/ledger_operations.py
+++ b/goldcresthoist/operators/ledger_operations.py
@@ -4,8 +4,8 @@
 from datetime import UTC, datetime
 
 from goldcresthoist.operations import InvalidOperationKey
+from goldcresthoist.operations.ledger import open_operation
 from goldcresthoist.operations.results import (
-    OpenOperation,
     Settled,
     StoreUnavailable,
 )
@@ -85,7 +85,7 @@
                 f"operation {key!r} of {service} may still run at {record.owner}"
             )
         result = await self.ledger.settle(
-            _open_operation(record),
+            open_operation(record),
             Word.FINISHED if settlement.outcome == "ran" else Word.REFUSED,
             settlement.author,
             f"settled by an operator: {settlement.outcome}",
@@ -127,18 +127,6 @@
         return record
 
 
-def _open_operation(record):
-    return OpenOperation(
-        service=record.service,
-        key=record.key,
-        state=record.state,
-        owner=record.owner,
-        started_s=record.started_s,
-        start_nonce=record.start_nonce,
-        note=record.note,
-    )
-
-
 def _listed(operation):
     # A started operation is listed only when its owner is gone, so that nobody knows
     # its end either.
--- a/goldcresthoist/table/client.py
+++ b/goldcresthoist/table/client.py
@@ -62,14 +62,8 @@
     @classmethod
     def from_settings(cls, settings):
         """Make a client from a daemon's settings."""
-        http = SignedHttp(
-            url=settings.table_url,
-            service="dynamodb",
-            region=settings.platform_region,
-            access_key=settings.access_key,
-            secret_key=settings.secret_key,
-            gate=CallGate("table"),
-            timeout_s=CALL_TIMEOUT_S,
+        http = SignedHttp.from_settings(
+            settings, settings.table_url, "dynamodb", CallGate("table"), CALL_TIMEOUT_S
         )
         return cls(http, settings.table_name)
 
--- a/goldcresthoist/tests/pathnode.py
+++ b/goldcresthoist/tests/pathnode.py
@@ -86,7 +86,6 @@
         self.link_server = LinkServer(
             member.instance, SHARED_KEY, self.server, self.counters
         )
-        self.server.announce_load = self.link_server.announce_load
         self.caller_server = CallerServer(
             self.router.handle, self.counters, self.router.begin
         )
--- a/goldcresthoist/upstreams/__init__.py
+++ b/goldcresthoist/upstreams/__init__.py
@@ -1,6 +1,6 @@
 """HTTP/1.1 client to the upstream beside the daemon."""
 
-from goldcresthoist.upstreams.client import RequestWriter
+from goldcresthoist.upstreams.client import RequestWriter, send_rest
 from goldcresthoist.upstreams.connection import UpstreamAnswer, UpstreamConnection
 from goldcresthoist.upstreams.errors import (
     UpstreamBroken,
@@ -23,4 +23,5 @@
     "UpstreamError",
     "UpstreamTimedOut",
     "UpstreamUnreachable",
+    "send_rest",
 ]
--- a/goldcresthoist/upstreams/client.py
+++ b/goldcresthoist/upstreams/client.py
@@ -2,7 +2,7 @@
 
 from goldcresthoist.upstreams.errors import UpstreamBroken
 
-__all__ = ["RequestWriter"]
+__all__ = ["RequestWriter", "send_rest"]
 
 
 class RequestWriter:
@@ -85,3 +85,23 @@
         self.remaining = len(self.call.body)
         if self.remaining:
             parts.append(b"content-length: %d\r\n" % self.remaining)
+
+
+async def send_rest(connection, writer, body):
+    """Send the rest of a request body as it arrives; give up when it breaks off.
+
+    Parameters
+    ----------
+    connection : UpstreamConnection
+    writer : RequestWriter
+        Wrote the head of the request.
+    body : BodyStream
+    """
+    try:
+        while data := await body.read():
+            await connection.send_body(writer.frame(data))
+        await connection.send_body(writer.finish())
+    except UpstreamBroken as exc:
+        connection.give_up(exc)
+    except Exception as exc:
+        connection.give_up(UpstreamBroken(f"the request broke off: {exc}"))
