A departure without a start time binds earlier runs of an unknown upstream

It did not know the upstream yet and kept the departure for a start of 0; a late announcement of the same run was then taken for a new one. Departures of an unknown run now bind all runs that started before.

--- a/goldcresthoist/fleet/messages.py
+++ b/goldcresthoist/fleet/messages.py
@@ -62,11 +62,15 @@
 
 
 class Departed(msgspec.Struct, frozen=True, array_like=True, tag=5):
-    """An upstream whose leaving was acknowledged by the daemon beside it."""
+    """An upstream whose leaving was acknowledged by the daemon beside it.
+
+    Where ``born_ms`` is 0, all runs of the identity up to ``before_ms`` have left.
+    """
 
     ip: str
     identity: str
     born_ms: int
+    before_ms: int = 0
 
 
 class Renew(msgspec.Struct, frozen=True, array_like=True, tag=6):
--- a/goldcresthoist/fleet/tests/builders.py
+++ b/goldcresthoist/fleet/tests/builders.py
@@ -1,8 +1,10 @@
 """Builders for the tests of the fleet."""
 
+from collections import Counter
+
 from goldcresthoist.fleet.messages import MemberRecord, RosterRequest
 
-__all__ = ["FakeChannel", "FakeLog", "FakeStore", "make_record"]
+__all__ = ["FakeChannel", "FakeCounters", "FakeLog", "FakeStore", "make_record"]
 
 
 class FakeLog:
@@ -64,3 +66,18 @@
 def make_record(ip, service="ledger", born_ms=1):
     """Return a member."""
     return MemberRecord(ip, f"node-{ip}", "a", "r", service, born_ms)
+
+
+class FakeCounters:
+    """Adds up what is counted, by name."""
+
+    def __init__(self):
+        self.counts = Counter()
+
+    def add(self, name, amount=1, **labels):
+        """Count."""
+        self.counts[name] += amount
+
+    def total(self, name):
+        """Return the sum of a counter."""
+        return self.counts[name]
--- a/goldcresthoist/node/announcements.py
+++ b/goldcresthoist/node/announcements.py
@@ -1,6 +1,7 @@
 """What the upstream beside the daemon tells it: heartbeats and departures."""
 
 import asyncio
+import time
 from time import monotonic
 
 from goldcresthoist.callers import CallerError
@@ -107,12 +108,14 @@
             not born_ms or born_ms == self.own.born_ms
         )
         was_known = (identity, born_ms or self.own.born_ms) in self.own.departed
-        born_ms = self.own.depart(identity, born_ms)
+        now_ms = int(time.time() * 1000)
+        born_ms, before_ms = self.own.depart(identity, born_ms, now_ms)
         if known:
             self.server.upstream_changed(False)
         if was_known:
             return
-        departed = Departed(self.directory.own.ip, identity, born_ms)
+        ip = self.directory.own.ip
+        departed = Departed(ip, identity, born_ms, before_ms)
         self.directory.depart(departed)
         await self.registration.record_departure(departed)
 
@@ -120,7 +123,8 @@
         """Take over a departure that an earlier process of this daemon acknowledged."""
         if (departed.identity, departed.born_ms) not in self.own.departed:
             self.log.event("departure remembered", upstream=departed.identity)
-            self.own.depart(departed.identity, departed.born_ms)
+            before_ms = departed.before_ms
+            self.own.depart(departed.identity, departed.born_ms, before_ms)
             self.server.upstream_changed(False)
 
     async def _wait_for_departures(self):
--- a/goldcresthoist/node/own_upstream.py
+++ b/goldcresthoist/node/own_upstream.py
@@ -45,6 +45,8 @@
         self.heard_at = float("-inf")
         # Runs whose leaving was acknowledged, oldest first.
         self.departed = {}
+        # Times in Unix ms before which all runs of an identity have departed.
+        self.departed_before = {}
         # The run that another upstream at the address denied to be.
         self.denied = None
         self.leaving = False
@@ -59,7 +61,7 @@
             return Heard.FOREIGN
         run = (announcement.identity, announcement.born_ms)
         known = (self.identity, self.born_ms)
-        if run in self.departed:
+        if run in self.departed or self._departed_before(announcement):
             if run == known:
                 self.leaving = True
                 self.heard_at = now
@@ -77,16 +79,37 @@
             return Heard.NEW
         return Heard.KNOWN
 
-    def depart(self, identity, born_ms=0):
-        """Never send another call to this run; return its start in Unix ms."""
+    def depart(self, identity, born_ms=0, now_ms=0):
+        """Never send another call to this run.
+
+        Parameters
+        ----------
+        identity : str
+        born_ms : int
+            Its start in Unix milliseconds; 0 when that was not said.
+        now_ms : int
+            The time of the departure. Where the start is not known here either, every
+            run of the identity that started before has departed.
+
+        Returns
+        -------
+        born_ms, before_ms : int
+            The start of the run, else the time before which all runs have departed;
+            the other is 0.
+        """
         if not born_ms and identity == self.identity:
             born_ms = self.born_ms
+        if not born_ms:
+            self.departed_before[identity] = now_ms
+            while len(self.departed_before) > MOST_DEPARTED:
+                self.departed_before.pop(next(iter(self.departed_before)))
+            return 0, now_ms
         self.departed[(identity, born_ms)] = True
         while len(self.departed) > MOST_DEPARTED:
             self.departed.pop(next(iter(self.departed)))
         if (identity, born_ms) == (self.identity, self.born_ms):
             self.leaving = True
-        return born_ms
+        return born_ms, 0
 
     def deny(self):
         """Note that the upstream at the address is another one than is known."""
@@ -96,6 +119,10 @@
         """Return whether the upstream is still slow after its start."""
         return now < self.cold_until
 
+    def _departed_before(self, announcement):
+        before_ms = self.departed_before.get(announcement.identity, -1)
+        return announcement.born_ms <= before_ms
+
     def _replaces(self, announcement, now):
         if self.identity is None:
             return True
--- a/goldcresthoist/node/tests/test_own_upstream.py
+++ b/goldcresthoist/node/tests/test_own_upstream.py
@@ -51,7 +51,7 @@
     def test_departure_without_a_start_time_is_of_the_known_run(self):
         """Guards against a departure without a word before that does not bind."""
         self.hear(born_ms=1000)
-        self.assertEqual(self.own.depart("i-1"), 1000)
+        self.assertEqual(self.own.depart("i-1", now_ms=5000), (1000, 0))
         self.assertFalse(self.own.usable())
 
     def test_departure_known_before_the_first_announcement(self):
@@ -60,6 +60,18 @@
         self.assertIs(self.hear(born_ms=1000), Heard.DEPARTED)
         self.assertFalse(self.own.usable())
 
+    def test_departure_without_a_start_time_of_an_unknown_run(self):
+        """Guards against a late announcement after a departure that names no start.
+
+        Hunt day hunt-3e1d-7 of tobar-mesh: a daemon started again and was told of the
+        departure before it knew the upstream; an announcement from before followed.
+        """
+        self.own.depart("i-1", now_ms=5000)
+        self.assertIs(self.hear(born_ms=1000), Heard.DEPARTED)
+        self.assertFalse(self.own.usable())
+        self.assertIs(self.hear(born_ms=6000), Heard.NEW)
+        self.assertTrue(self.own.usable())
+
     def test_other_upstreams_are_not_taken(self):
         """Guards against calls to the upstream of another service or address."""
         self.assertIs(self.hear(service="desk"), Heard.FOREIGN)
--- /dev/null
+++ b/goldcresthoist/node/tests/test_serving.py
@@ -0,0 +1,110 @@
+"""Tests of the admission of calls beside the upstream."""
+
+import unittest
+
+from goldcresthoist.balance import CrashSuspects
+from goldcresthoist.fleet.tests.builders import FakeCounters, FakeLog
+from goldcresthoist.links.frames import Open
+from goldcresthoist.node.own_upstream import OwnUpstream
+from goldcresthoist.node.serving import UpstreamServer
+from goldcresthoist.node.tests.builders import make_announcement
+
+
+class FakePool:
+    """An upstream that can be connected to."""
+
+    def __init__(self):
+        self.down = False
+        self.idle = []
+        self.on_change = None
+
+
+class FakeCall:
+    """Keeps the refusal of a call."""
+
+    def __init__(self, service, crash_count):
+        self.open = Open(
+            call_id=1,
+            service=service,
+            work="rights",
+            method="GET",
+            target="/",
+            headers=(),
+            time_left_us=2_000_000,
+            key="",
+            fingerprint=b"mark",
+            crash_count=crash_count,
+            body=b"",
+            end=True,
+            aim_us=500_000,
+        )
+        self.refused = None
+        self.begun = None
+        self.done = False
+
+    def refuse(self, code, message, load, retry_after_ms=0):
+        """Keep the code."""
+        self.refused = code
+        self.done = True
+
+
+class AdmissionTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self):
+        self.own = OwnUpstream("10.0.0.1:8000", "ledger")
+        self.pool = FakePool()
+        self.server = UpstreamServer(
+            self.own, self.pool, CrashSuspects(), FakeCounters(), FakeLog()
+        )
+        self.own.hear(make_announcement(), 0.0)
+        self.server.upstream_changed(True)
+
+    async def asyncTearDown(self):
+        await self.server.close()
+
+    def begin(self, service="ledger", crash_count=0):
+        call = FakeCall(service, crash_count)
+        self.server.begin(call)
+        return call
+
+    async def test_call_for_another_service_is_refused(self):
+        """Guards against a call run by a service that no route sends it to.
+
+        The address of an instance may be used again by another service.
+        """
+        self.assertEqual(self.begin(service="desk").refused, "not-ready")
+
+    async def test_leaving_or_unknown_upstream_gets_nothing(self):
+        """Guards against calls after an acknowledged departure."""
+        self.assertIsNone(self.begin().refused)
+        self.own.depart("i-1")
+        self.server.upstream_changed(False)
+        self.assertEqual(self.begin().refused, "draining")
+
+    async def test_upstream_without_connections(self):
+        """Guards against calls that wait for an upstream that is down."""
+        self.pool.down = True
+        self.assertEqual(self.begin().refused, "no-upstream")
+
+    async def test_request_that_crashed_three_upstreams(self):
+        """Guards against a request that brings down one upstream after another."""
+        for count in (1, 2):
+            self.server.learn_suspect(b"mark", count)
+            self.assertIsNone(self.begin().refused)
+        self.server.learn_suspect(b"mark", 3)
+        self.assertEqual(self.begin().refused, "crash-suspect")
+        self.server.learn_suspect(b"mark", 0)
+        self.assertIsNone(self.begin().refused)
+        self.assertEqual(self.begin(crash_count=3).refused, "crash-suspect")
+
+    async def test_load_report_tells_when_nothing_may_be_sent(self):
+        """Guards against daemons that learn of it from refusals only."""
+        self.assertFalse(self.server.load_report().draining)
+        self.server.start_draining()
+        self.assertTrue(self.server.load_report().draining)
+
+    async def test_failures_are_told_and_fade(self):
+        """Guards against grey failure that only those who met it know of."""
+        for _ in range(20):
+            self.server.record_end(True, 100.0)
+        self.assertGreater(self.server.failure_share(100.0), 0.5)
+        self.assertLess(self.server.failure_share(130.0), 0.05)
--- /dev/null
+++ b/goldcresthoist/platform/tests/test_store.py
@@ -0,0 +1,94 @@
+"""Tests of the client of the platform's store against the stand-in."""
+
+import asyncio
+import base64
+import random
+import unittest
+
+from goldcresthoist.fleet.tests.builders import FakeCounters
+from goldcresthoist.platform import (
+    OutcomeUnknown,
+    StoreClient,
+    StoreUnavailable,
+    WriteConflict,
+)
+from goldcresthoist.tests.standins.platform_store import PlatformStore
+
+TABLE = "members"
+
+
+class StoreClientTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self):
+        self.store = PlatformStore()
+        # An address of its own, so that tests of other processes cannot meet it.
+        host = f"127.{random.randint(201, 250)}.{random.randint(0, 255)}.1"
+        await self.store.start(host, 8627)
+        self.counters = FakeCounters()
+        self.client = StoreClient(f"{host}:8627", self.counters)
+
+    async def asyncTearDown(self):
+        await self.client.close()
+        await self.store.stop()
+
+    async def test_rows(self):
+        """Guards against rows that are read or written wrongly."""
+        await self.client.put(TABLE, {"a/1": b"one", "b/1": b"\x00\xff"})
+        page = await self.client.rows(TABLE)
+        found = {row.key: row.value for row in page.rows}
+        self.assertEqual(found, {"a/1": b"one", "b/1": b"\x00\xff"})
+        page = await self.client.rows(TABLE, "b/")
+        self.assertEqual([row.key for row in page.rows], ["b/1"])
+
+    async def test_malformed_row_hides_no_other(self):
+        """Guards against a forged row that makes all others unreadable."""
+        self.store.put(TABLE, "bad", "not base64!")
+        self.store.put(TABLE, "good", base64.b64encode(b"x").decode())
+        page = await self.client.rows(TABLE)
+        self.assertEqual([row.key for row in page.rows], ["good"])
+        self.assertEqual(self.counters.total("store_rows_malformed"), 1)
+
+    async def test_changes_are_followed(self):
+        """Guards against a change that is not heard of, or heard twice."""
+        page = await self.client.rows(TABLE)
+        task = asyncio.create_task(self.client.follow(TABLE, page.version, 5.0))
+        await asyncio.sleep(0.05)
+        await self.client.put(TABLE, {"a": b"1"})
+        page = await task
+        self.assertEqual([row.value for row in page.rows], [b"1"])
+        page = await self.client.follow(TABLE, page.version, 0.05)
+        self.assertEqual(page.rows, ())
+
+    async def test_row_that_changed_is_not_removed(self):
+        """Guards against the removal of a row that was written again."""
+        await self.client.put(TABLE, {"a": b"1"})
+        version = (await self.client.rows(TABLE)).rows[0].version
+        await self.client.put(TABLE, {"a": b"2"})
+        with self.assertRaises(WriteConflict):
+            await self.client.remove(TABLE, "a", version)
+
+    async def test_refused_call_had_no_effect(self):
+        """Guards against a write that is repeated though it may have taken effect."""
+        self.store.faults = {"down": True}
+        with self.assertRaises(StoreUnavailable):
+            await self.client.put(TABLE, {"a": b"1"})
+
+    async def test_lost_answer_leaves_the_outcome_open(self):
+        """Guards against a write that is taken for undone and was done."""
+        self.store.faults = {"lose_answers": 1}
+        with self.assertRaises(OutcomeUnknown):
+            await self.client.put(TABLE, {"a": b"1"})
+        self.assertIn((TABLE, "a"), self.store.rows)
+
+    async def test_silent_store_ends_the_call_in_time(self):
+        """Guards against a call that waits for ever on a silent connection."""
+        self.store.faults = {"silent": True}
+        with self.assertRaises(OutcomeUnknown):
+            await self.client.rows(TABLE, timeout_s=0.1)
+
+    async def test_calls_stop_while_the_store_is_down(self):
+        """Guards against priced calls to a store that answers none."""
+        self.store.faults = {"down": True}
+        for _ in range(20):
+            with self.assertRaises(StoreUnavailable):
+                await self.client.rows(TABLE)
+        self.assertLess(self.store.calls, 6)
--- a/goldcresthoist/telemetry/decisions.py
+++ b/goldcresthoist/telemetry/decisions.py
@@ -67,7 +67,8 @@
             return
         self.waiting.append(data)
         self.waiting_bytes += len(data)
-        self._schedule()
+        if not self._schedule():
+            self.flush()
 
     def flush(self):
         """Write what the descriptor takes now."""
@@ -92,14 +93,15 @@
             self._schedule()
 
     def _schedule(self):
+        """Flush soon; return False when there is no event loop to do it."""
         if self.flush_handle is not None:
-            return
+            return True
         try:
             loop = asyncio.get_running_loop()
         except RuntimeError:
-            self.flush()
-            return
+            return False
         self.flush_handle = loop.call_later(FLUSH_INTERVAL_S, self.flush)
+        return True
 
     def _admit(self):
         now = time.monotonic()
