--- a/goldcresthoist/config/tests/builders.py
+++ b/goldcresthoist/config/tests/builders.py
@@ -2,20 +2,29 @@
 
 import msgspec
 
-from goldcresthoist.config import (
+from goldcresthoist.config.model import (
     Read,
     ServiceConfiguration,
     TeamConfiguration,
     WorkRule,
 )
 
+__all__ = ["make_content", "make_stored_content"]
 
-def make_content(team, slots=12, services=None):
-    """Return stored bytes of a team's configuration."""
+
+def make_content(
+    team, *services, slots=12, domain="domain-1", encode=msgspec.msgpack.encode
+):
+    """Return the bytes of a team's configuration, by default with two services."""
     names = services or (f"{team}-read", f"{team}-write")
     work = (WorkRule("get", "GET", "/", Read(), 0.01, 1.0, 1.0),)
     items = tuple(
         ServiceConfiguration(name, slots, 0, 48, 0.05, 0.03, 0.01, work)
         for name in names
     )
-    return msgspec.msgpack.encode(TeamConfiguration(team, items))
+    return encode(TeamConfiguration(team, items, (domain,)))
+
+
+def make_stored_content(team, *services, domain="domain-1"):
+    """Return a configuration as the store keeps it."""
+    return make_content(team, *services, domain=domain, encode=msgspec.json.encode)
--- a/goldcresthoist/config/tests/machines.py
+++ b/goldcresthoist/config/tests/machines.py
@@ -9,7 +9,7 @@
 from goldcresthoist.config import ConfigurationConflict
 from goldcresthoist.config.errors import ConfigurationUnavailable, ServiceTaken
 from goldcresthoist.config.store import ConfigurationStore, service_names
-from goldcresthoist.config.tests.store_builders import make_content
+from goldcresthoist.config.tests.builders import make_stored_content
 from goldcresthoist.config.versions import (
     Accepted,
     NotAccepted,
@@ -85,7 +85,7 @@
     async def _apply(self, daemon, team, services, expected):
         self.applied += 1
         domain = f"domain-{self.applied}"
-        content = make_content(team, *sorted(services), domain=domain)
+        content = make_stored_content(team, *sorted(services), domain=domain)
         try:
             result = await daemon.store.apply(team, content, expected, daemon.host.name)
         except (ConfigurationConflict, ServiceTaken):
--- a/goldcresthoist/config/tests/test_holder.py
+++ b/goldcresthoist/config/tests/test_holder.py
@@ -42,9 +42,9 @@
 
     def test_removed_service_is_gone(self):
         holder = ConfigurationHolder()
-        holder.offer("t", 1, make_content("t", services=("a", "b")))
+        holder.offer("t", 1, make_content("t", "a", "b"))
         self.assertIsNotNone(holder.service("a"))
-        holder.offer("t", 2, make_content("t", services=("b",)))
+        holder.offer("t", 2, make_content("t", "b"))
         self.assertIsNone(holder.service("a"))
         self.assertIsNotNone(holder.service("b"))
 
@@ -53,5 +53,5 @@
             holder = ConfigurationHolder()
             for team in order:
                 slots = 3 if team == "t" else 9
-                holder.offer(team, 1, make_content(team, slots, ("a",)))
+                holder.offer(team, 1, make_content(team, "a", slots=slots))
             self.assertEqual(holder.service("a").slots, 3)
--- a/goldcresthoist/config/tests/test_store.py
+++ b/goldcresthoist/config/tests/test_store.py
@@ -13,7 +13,7 @@
 )
 from goldcresthoist.config.model import TeamConfiguration
 from goldcresthoist.config.store import ConfigurationStore
-from goldcresthoist.config.tests.store_builders import make_content
+from goldcresthoist.config.tests.builders import make_stored_content
 from goldcresthoist.config.versions import Accepted, NotAccepted, OutcomeNotKnown
 from goldcresthoist.tests.platform_builders import (
     make_object_client,
@@ -47,29 +47,29 @@
         return result.version
 
     async def test_versions_are_kept_and_found(self):
-        first = await self.accept("a", make_content("a", "one"), 0)
-        second = await self.accept("a", make_content("a", "one", "two"), 1)
-        other = await self.accept("b", make_content("b", "three"), 0)
+        first = await self.accept("a", make_stored_content("a", "one"), 0)
+        second = await self.accept("a", make_stored_content("a", "one", "two"), 1)
+        other = await self.accept("b", make_stored_content("b", "three"), 0)
         self.assertEqual(await self.store.current("a"), second)
         self.assertEqual(await self.store.history("a"), [first, second])
         self.assertEqual(await self.store.history("a", after=1), [second])
         self.assertEqual(await self.store.all_current(), {"a": second, "b": other})
         content = await self.store.content(first.digest)
-        self.assertEqual(content, make_content("a", "one"))
+        self.assertEqual(content, make_stored_content("a", "one"))
         self.assertIsNone(await self.store.current("c"))
 
     async def test_settings_give_a_working_store(self):
         settings = make_settings(table_url=self.table.url, objects_url=self.objects.url)
         store = ConfigurationStore.from_settings(settings)
         self.addAsyncCleanup(store.close)
-        result = await store.apply("a", make_content("a"), 0, "ann")
+        result = await store.apply("a", make_stored_content("a"), 0, "ann")
         self.assertIsInstance(result, Accepted)
 
     async def test_one_of_two_concurrent_operators_wins(self):
-        await self.accept("a", make_content("a", "one"), 0)
+        await self.accept("a", make_stored_content("a", "one"), 0)
         results = await asyncio.gather(
-            self.store.apply("a", make_content("a", "two"), 1, "ann"),
-            self.make_store().apply("a", make_content("a", "three"), 1, "bob"),
+            self.store.apply("a", make_stored_content("a", "two"), 1, "ann"),
+            self.make_store().apply("a", make_stored_content("a", "three"), 1, "bob"),
             return_exceptions=True,
         )
         [conflict] = [x for x in results if isinstance(x, ConfigurationConflict)]
@@ -80,28 +80,30 @@
 
     async def test_unexpected_version_is_a_conflict(self):
         with self.assertRaises(ConfigurationConflict) as caught:
-            await self.store.apply("a", make_content("a"), 4, "ann")
+            await self.store.apply("a", make_stored_content("a"), 4, "ann")
         self.assertEqual(caught.exception.version, 0)
 
     async def test_service_belongs_to_one_team_until_given_up(self):
-        await self.accept("a", make_content("a", "one", "two"), 0)
+        await self.accept("a", make_stored_content("a", "one", "two"), 0)
         with self.assertRaises(ServiceTaken) as caught:
-            await self.store.apply("b", make_content("b", "two"), 0, "bob")
+            await self.store.apply("b", make_stored_content("b", "two"), 0, "bob")
         self.assertEqual(caught.exception.team, "a")
-        await self.accept("a", make_content("a", "one"), 1)
-        await self.accept("b", make_content("b", "two"), 0)
+        await self.accept("a", make_stored_content("a", "one"), 1)
+        await self.accept("b", make_stored_content("b", "two"), 0)
         with self.assertRaises(ServiceTaken):
-            await self.store.apply("a", make_content("a", "one", "two"), 2, "ann")
+            await self.store.apply(
+                "a", make_stored_content("a", "one", "two"), 2, "ann"
+            )
 
     async def test_lost_answer_is_read_back(self):
         self.table.faults.lose_answers = 1
-        version = await self.accept("a", make_content("a"), 0)
+        version = await self.accept("a", make_stored_content("a"), 0)
         self.assertEqual((await self.store.current("a")).nonce, version.nonce)
 
     async def test_outcome_stays_unknown_while_the_write_may_arrive_late(self):
         self.table.faults.change({"late_writes": 1, "late_close": True})
         store = self.make_store(timeout_s=0.0)
-        result = await store.apply("a", make_content("a"), 0, "ann")
+        result = await store.apply("a", make_stored_content("a"), 0, "ann")
         self.assertIsInstance(result, OutcomeNotKnown)
         still = await self.store.outcome(result.candidate)
         self.assertIsInstance(still, OutcomeNotKnown)
@@ -113,7 +115,7 @@
     async def test_store_that_is_down_accepts_nothing(self):
         for standin in (self.objects, self.table):
             standin.faults.down = True
-            result = await self.store.apply("a", make_content("a"), 0, "ann")
+            result = await self.store.apply("a", make_stored_content("a"), 0, "ann")
             self.assertIsInstance(result, NotAccepted)
             with self.assertRaises(ConfigurationUnavailable):
                 if standin is self.table:
@@ -128,7 +130,7 @@
         for content in (b"{", empty):
             with self.assertRaises(CorruptContent):
                 await self.store.apply("a", content, 0, "ann")
-        version = await self.accept("a", make_content("a"), 0)
+        version = await self.accept("a", make_stored_content("a"), 0)
         name = f"test/configuration/{version.digest}"
         self.objects.objects[name] = b"other"
         with self.assertRaises(CorruptContent):
