--- a/goldcresthoist/node/request.py
+++ b/goldcresthoist/node/request.py
@@ -111,7 +111,7 @@
         try:
             while attempt is not None:
                 attempt, outcome = await self._settle(attempt)
-                if _is_final_answer(outcome):
+                if _is_good(outcome):
                     break
                 following = await self._next(attempt, outcome)
                 if following is None:
@@ -416,10 +416,6 @@
     return type(outcome) is Head and outcome.status not in FAILED_STATUSES
 
 
-def _is_final_answer(outcome):
-    return _is_good(outcome)
-
-
 def _reason(outcome):
     """Return why an outcome is not final; "!" marks that the request may have run."""
     match outcome:
--- a/goldcresthoist/node/serving.py
+++ b/goldcresthoist/node/serving.py
@@ -53,6 +53,8 @@
         self.queue = SlotQueue()
         self.queue.on_knee = self._note_knee
         self.draining = False
+        # The reason for refusals that other daemons were told last.
+        self.told_state = ""
         self.loop = asyncio.get_running_loop()
         self.running = set()
         self.failures = 0.0
@@ -121,7 +123,7 @@
             self.queue.drain()
         self.queue.slots = self.own.slots
         state = self.refusal_reason()
-        if is_new or state != getattr(self, "told_state", ""):
+        if is_new or state != self.told_state:
             self.told_state = state
             self.announce_load()
 
