Requests that come again count their aim from the first attempt

A repeat has the aim of the first attempt: it waits behind work that is in time, for 0.3 of its time at most, gets no second copy, and is told to come back after a third of its time.

--- a/goldcresthoist/balance/__init__.py
+++ b/goldcresthoist/balance/__init__.py
@@ -19,6 +19,7 @@
 from goldcresthoist.balance.pace import PaceGauge
 from goldcresthoist.balance.paced import PacedChooser
 from goldcresthoist.balance.policy import Default, Naive, Policy, policy_named
+from goldcresthoist.balance.returning import ReturningRequests
 from goldcresthoist.balance.shared_budget import SharedRetryBudget
 from goldcresthoist.balance.slots import SlotCall, SlotQueue
 from goldcresthoist.balance.suspects import CrashSuspects, SuspectRecord
@@ -40,6 +41,7 @@
     "Policy",
     "ProbeBudget",
     "RetryBudget",
+    "ReturningRequests",
     "Saturated",
     "SharedRetryBudget",
     "Slot",
--- a/goldcresthoist/balance/slots.py
+++ b/goldcresthoist/balance/slots.py
@@ -29,6 +29,8 @@
 QUEUE_PER_SLOT = 2
 # Times vary, so a call is taken only when it is expected to end well before its aim.
 SAFE_SHARE = 0.5
+# A call that is late already waits behind all others, for this share of its time.
+LATE_WAIT_SHARE = 0.3
 # Work is short when it takes at most this share of what a busy slot usually holds.
 # Mostly it is called by work that holds a slot elsewhere all the while, so that its
 # refusal wastes more than itself.
@@ -74,12 +76,14 @@
 
 
 class _Waiter:
-    __slots__ = ("call", "future", "order")
+    __slots__ = ("call", "future", "latest", "order")
 
-    def __init__(self, call, future, order):
+    def __init__(self, call, future, order, latest):
         self.call = call
         self.future = future
         self.order = order
+        # The answer should come until then, unless there is a reason for patience.
+        self.latest = latest
 
 
 class SlotQueue:
@@ -183,21 +187,25 @@
                 return None
             if start is _Start.LATER and call.others > 0:
                 raise Saturated(RETRY_FLOOR_S)
-            return self._enqueue_paced(call)
+            return self._enqueue_paced(call, now)
         if not held and len(self.waiting) < limit - self.running:
             # Those ahead wait for a figure or a slow phase, not for a slot.
             if call.others == 0 or not self._is_slow_phase(now):
-                return self._enqueue_paced(call)
+                return self._enqueue_paced(call, now)
         wait_s = self.expected_wait_s(call, now)
         end = now + wait_s + usual_s * self.pace.expected(now)
         crowded = len(self.waiting) >= QUEUE_PER_SLOT * self.slots
-        # Late short work still lets the work that called it end well.
-        latest = min(call.aim, call.deadline)
-        latest = call.deadline if short else now + SAFE_SHARE * (latest - now)
+        if short:
+            # Late short work still lets the work that called it end well.
+            latest = call.deadline
+        elif now + usual_s > call.aim:
+            latest = now + LATE_WAIT_SHARE * (call.deadline - now)
+        else:
+            latest = now + SAFE_SHARE * (min(call.aim, call.deadline) - now)
         if call.others > 0 or crowded or end > latest:
-            if not self._displace(call, short):
+            if not self._displace(call, short, now):
                 raise Saturated(max(RETRY_FLOOR_S, wait_s))
-        return self._enqueue(call)
+        return self._enqueue(call, now)
 
     def release(self, now):
         """Give a slot back and start the calls that wait for it."""
@@ -268,7 +276,7 @@
             call = waiter.call
             usual_s = self.usual_s(call, now)
             patient = self.is_short(call.work) or self._is_slow_phase(now)
-            latest = call.deadline if patient else call.aim
+            latest = call.deadline if patient else waiter.latest
             late = now + HOPELESS_SHARE * usual_s > latest
             if late or now + usual_s > call.deadline:
                 self._fail(waiter, Saturated(RETRY_FLOOR_S))
@@ -314,15 +322,18 @@
             return False
         return self.pace.is_in_slow_phase(now, LONGEST_SLOW_PHASE_S)
 
-    def _enqueue_paced(self, call):
-        future = self._enqueue(call)
+    def _enqueue_paced(self, call, now):
+        future = self._enqueue(call, now)
         self.ask_pace()
         return future
 
-    def _enqueue(self, call):
+    def _enqueue(self, call, now):
         self.arrivals += 1
         future = asyncio.get_running_loop().create_future()
-        self.waiting.append(_Waiter(call, future, self.arrivals))
+        latest = call.aim
+        if now + self.usual_s(call, now) > call.aim:
+            latest = now + LATE_WAIT_SHARE * (call.deadline - now)
+        self.waiting.append(_Waiter(call, future, self.arrivals, latest))
         return future
 
     def _rank(self, call, now):
@@ -339,19 +350,28 @@
     def _waiting_short(self):
         return [item for item in self.waiting if self.is_short(item.call.work)]
 
-    def _displace(self, call, short):
+    def _displace(self, call, short, now):
         """Refuse the newest waiting call of less urgency, if there is one."""
         if call.others > 0:
             return False
+        rank = self._rank(call, now)
         less = [
             item
             for item in self.waiting
             if item.call.priority > call.priority
             or (short and not self.is_short(item.call.work))
+            or self._rank(item.call, now)[0] > rank[0]
         ]
         if not less:
             return False
-        victim = max(less, key=lambda item: (item.call.priority, item.order))
+        victim = max(
+            less,
+            key=lambda item: (
+                self._rank(item.call, now)[0],
+                item.call.priority,
+                item.order,
+            ),
+        )
         self._fail(victim, Saturated(RETRY_FLOOR_S))
         return True
 
--- a/goldcresthoist/balance/tests/test_slots.py
+++ b/goldcresthoist/balance/tests/test_slots.py
@@ -109,6 +109,34 @@
         queue.release(0.0)
         self.assertTrue(urgent.done())
 
+    async def test_late_work_waits_behind_work_in_time(self):
+        """Guards against a crest at which those that come back crowd out the rest."""
+        queue = make_queue(running=4)
+        late = queue.admit(make_call(aim=0.0, deadline=3.0), 0.0)
+        fresh = queue.admit(make_call(aim=1.0), 0.0)
+        queue.release(0.05)
+        self.assertTrue(fresh.done())
+        self.assertFalse(late.done())
+
+    async def test_late_work_gives_its_place_up(self):
+        """Guards against a full queue of late work that refuses work in time."""
+        queue = make_queue(slots=1, running=1)
+        patient = {"deadline": 50.0}
+        late = [queue.admit(make_call(aim=0.0, **patient), 0.0) for _ in range(2)]
+        with self.assertRaises(Saturated):
+            queue.admit(make_call(aim=0.0, **patient), 0.0)
+        queue.admit(make_call(aim=50.0, **patient), 0.0)
+        self.assertIsInstance(late[1].exception(), Saturated)
+
+    async def test_late_work_is_not_held_to_its_end(self):
+        """Guards against callers that wait untried and have no time to come back."""
+        queue = make_queue(running=4)
+        late = queue.admit(make_call(aim=0.0, deadline=3.0), 0.0)
+        queue.expire(0.5)
+        self.assertFalse(late.done())
+        queue.expire(0.9)
+        self.assertIsInstance(late.exception(), Saturated)
+
     async def test_work_with_other_choices_is_sent_on(self):
         """Guards against a queue at one upstream while others have free slots."""
         queue = make_queue(running=4)
--- a/goldcresthoist/node/entry.py
+++ b/goldcresthoist/node/entry.py
@@ -4,6 +4,7 @@
 
 import msgspec
 
+from goldcresthoist.balance import ReturningRequests
 from goldcresthoist.callers import CallerError
 from goldcresthoist.node.request import EntryRequest
 from goldcresthoist.platform.fields import read_request_fields, refusal_headers
@@ -38,6 +39,7 @@
         self.counters = counters
         self.log = log
         self.loop = asyncio.get_running_loop()
+        self.returning = ReturningRequests()
         self.in_progress = 0
         # Set when the process is about to end: what is taken now might be cut off.
         self.closing = False
--- a/goldcresthoist/node/request.py
+++ b/goldcresthoist/node/request.py
@@ -30,6 +30,8 @@
 HEDGE_KEEPS = 1.0
 RETRY_AFTER_MIN_S = 0.08
 RETRY_AFTER_MAX_S = 1.0
+# Callers wait a third of the time that they have left at most.
+LATE_RETRY_SHARE = 0.33
 MOST_CRASHES_RETRIED = 2
 FAILED_STATUSES = frozenset((500, 502, 503, 504))
 
@@ -50,6 +52,7 @@
         "exclude",
         "fields",
         "final",
+        "first_sent",
         "fingerprint",
         "headers",
         "loop",
@@ -80,6 +83,8 @@
         self.deadline = now + min(wait_s, route.timeout_s)
         self.state = entry.services.route(route)
         self.rule = self.state.rule
+        # The aim of the answer counts from the caller's first attempt.
+        self.first_sent = now
         part = self.state.shares.next()
         self.service = entry.services.service(part.service)
         # `Attempt` and `relay_answer` know the route by this name.
@@ -122,6 +127,11 @@
             for item in self.attempts:
                 item.give_up()
 
+    @property
+    def aim(self):
+        """Until when the answer has its full value."""
+        return self.first_sent + self.state.route.aim_s
+
     def open_message(self, call_id, now, hedge):
         """Return the `Open` message of one offer."""
         route = self.state.route
@@ -140,7 +150,7 @@
             self.body_complete,
             hedge,
             route.priority,
-            max(0, int((self.arrived + route.aim_s - now) * 1e6)),
+            max(0, int((self.aim - now) * 1e6)),
             self._alternatives(now),
             route.repeatable,
         )
@@ -167,6 +177,8 @@
         """Write the line of the request."""
         now = monotonic()
         status = self.exchange.status if self.exchange.started else 0
+        if self.fingerprint and not 200 <= status < 300:
+            self.entry.returning.record(self.fingerprint, self.first_sent, now)
         self.entry.counters.add("requests", route=self.rule.name, outcome=self.outcome)
         self.entry.counters.observe(
             "request_seconds", now - self.arrived, outcome=self.outcome
@@ -180,6 +192,7 @@
             version=self.version,
             outcome=self.outcome,
             status=status,
+            first_sent_ms=round((self.arrived - self.first_sent) * 1000),
             ms=round((now - self.arrived) * 1000, 1),
             decisions=self.decisions,
         )
@@ -203,6 +216,8 @@
             mark.update(len(part).to_bytes(4, "big"))
             mark.update(part)
         self.fingerprint = mark.digest()
+        returning = self.entry.returning
+        self.first_sent = returning.first_attempt(self.fingerprint, self.arrived)
 
     def _alternatives(self, now):
         if self.final or self.offers >= MOST_OFFERS:
@@ -260,7 +275,8 @@
 
     async def _settle(self, attempt):
         """Return the attempt that decides and its outcome; may send a second copy."""
-        if not self.state.route.repeatable or not self.body_complete:
+        late = self.aim <= monotonic()
+        if late or not self.state.route.repeatable or not self.body_complete:
             return attempt, await attempt.outcome()
         delay_s = max(
             HEDGE_SHARE * self.state.route.aim_s, HEDGE_MULTIPLE * self.rule.usual_s
@@ -399,7 +415,16 @@
         return any(line.get("got", "").startswith("!") for line in self.decisions)
 
     def _retry_after_s(self):
-        return min(RETRY_AFTER_MAX_S, max(RETRY_AFTER_MIN_S, self.retry_after_s))
+        """Return when the caller may come back.
+
+        Until its aim has passed it should come soon. After that a later time is
+        better: the crest may have passed, and others still have their aim.
+        """
+        now = monotonic()
+        least_s = RETRY_AFTER_MIN_S
+        if now + self.rule.usual_s > self.aim:
+            least_s = max(least_s, LATE_RETRY_SHARE * (self.deadline - now))
+        return min(RETRY_AFTER_MAX_S, max(least_s, self.retry_after_s))
 
 
 class _RelayRoute:
--- a/goldcresthoist/node/tests/test_path.py
+++ b/goldcresthoist/node/tests/test_path.py
@@ -39,6 +39,19 @@
         ]
         self.assertEqual([len(body) for body in uploads], [360_000] * 3)
 
+    async def test_request_that_comes_again_keeps_its_aim(self):
+        """Guards against callers that win a new aim with each refusal."""
+        returning = self.site.nodes[self.first].entry.returning
+        _, answer = await self.site.call(self.first, "/read/1?fault=shed")
+        self.assertEqual(answer.status, 503)
+        ((first, _),) = returning.first_sent.values()
+        await self.site.call(self.first, "/read/1?fault=shed")
+        ((again, ended),) = returning.first_sent.values()
+        self.assertEqual(again, first)
+        self.assertGreater(ended, first)
+        self.assert_served(*await self.site.call(self.first, "/read/2"))
+        self.assertEqual(len(returning.first_sent), 1)
+
     async def test_unknown_routes_are_refused(self):
         """Guards against requests that are passed on without a route."""
         _, answer = await self.site.call(self.first, "/other/1")
