A stopped daemon serves its upstream until shortly before it ends

Cause: at SIGTERM a daemon refused all calls for its upstream, 3 s before it ended, though the upstream stays and only this daemon reaches it.

Ruled out: slow restarts. After the closing fault all upstreams were announced within 0.4 s of the start of their daemons.

Change: readiness goes at once, calls for the upstream are refused 2.55 s later, and the last 0.45 s and what is left of the grace are for those that run.

--- a/goldcresthoist/node/assembly.py
+++ b/goldcresthoist/node/assembly.py
@@ -59,6 +59,7 @@
         self.settings = settings
         self.counters = Counters(PlainExposition())
         self.log = DecisionLog(settings.instance)
+        # Set when the process is to end, so that callers go elsewhere.
         self.draining = False
         key = fleet_key(settings)
         self.record = MemberRecord(
@@ -167,11 +168,6 @@
         """Return whether callers may send requests."""
         return self.watch.table is not None and not self.draining
 
-    def start_draining(self):
-        """Take no more work for the own upstream; callers are asked to go elsewhere."""
-        self.draining = True
-        self.server.start_draining()
-
     def reconfigure(self, settings):
         """Take over changed settings as far as they apply to a running process.
 
--- a/goldcresthoist/node/lifecycle.py
+++ b/goldcresthoist/node/lifecycle.py
@@ -10,7 +10,7 @@
 from goldcresthoist.platform import InvalidNodeSettings, NodeSettings
 from goldcresthoist.platform.settings import settings_path
 
-__all__ = ["run", "serve"]
+__all__ = ["drain", "run", "serve"]
 
 SUCCESS = 0
 FAILURE = 1
@@ -18,6 +18,9 @@
 # The platform asks for the readiness once a second, and callers stop after two misses;
 # until then they must be answered.
 LINGER_S = 3.0
+# The upstream stays when only its daemon is stopped, and nobody else reaches it. Its
+# calls are refused only after this share of that time; the rest is for those that run.
+UPSTREAM_SHARE = 0.85
 # Part of the grace after which what still runs is cut off.
 STOP_SHARE = 0.93
 POLL_S = 0.05
@@ -66,7 +69,7 @@
             loop.create_task(_watch_settings(node, reload)),
         ]
         await stop.wait()
-        await _drain(node)
+        await drain(node)
     finally:
         for task in tasks:
             task.cancel()
@@ -83,15 +86,25 @@
     node.watch.start()
 
 
-async def _drain(node):
+async def drain(node):
+    """End what runs, and take on as little as possible of what would not end.
+
+    Parameters
+    ----------
+    node : Node
+    """
     grace_s = node.settings.bounds.stop_grace_s
     started = monotonic()
     node.log.event("stopping", grace_s=grace_s, in_progress=node.entry.in_progress)
-    node.start_draining()
-    linger_until = started + min(LINGER_S, grace_s / 2)
+    node.draining = True
+    linger_s = min(LINGER_S, grace_s / 2)
     last = started + STOP_SHARE * grace_s
     while monotonic() < last:
-        if monotonic() >= linger_until:
+        passed_s = monotonic() - started
+        if passed_s >= UPSTREAM_SHARE * linger_s and not node.server.draining:
+            node.log.event("upstream calls refused", after_s=round(passed_s, 2))
+            node.server.start_draining()
+        if passed_s >= linger_s:
             if not node.entry.closing:
                 node.entry.closing = True
                 node.caller_server.start_draining()
--- a/goldcresthoist/node/tests/test_path.py
+++ b/goldcresthoist/node/tests/test_path.py
@@ -4,6 +4,7 @@
 import unittest
 from collections import Counter
 
+from goldcresthoist.node.lifecycle import drain
 from goldcresthoist.node.tests.site import Site, configuration, wait_until
 from goldcresthoist.tests.standins.platform_target import seal_of
 
@@ -52,6 +53,23 @@
         self.assert_served(*await self.site.call(self.first, "/read/2"))
         self.assertEqual(len(returning.first_sent), 1)
 
+    async def test_stopped_daemon_serves_its_upstream_for_a_while(self):
+        """Guards against upstreams that nobody reaches while daemons stop in turn.
+
+        On scale-1 of tobar-mesh three daemons of one service were stopped 1.2 s apart
+        and refused calls for 3 s each: 490 requests found no upstream.
+        """
+        node = self.site.nodes[self.third]
+        stopping = asyncio.create_task(drain(node))
+        await wait_until(lambda: not node.is_ready())
+        self.assert_served(*await self.site.call(self.first, "/write/1", "POST"))
+        await wait_until(lambda: node.server.draining)
+        self.assertFalse(stopping.done())
+        _, answer = await self.site.call(self.first, "/write/2", "POST")
+        self.assertEqual(answer.status, 503)
+        await stopping
+        self.assertFalse(node.busy())
+
     async def test_unknown_routes_are_refused(self):
         """Guards against requests that are passed on without a route."""
         _, answer = await self.site.call(self.first, "/other/1")
