All rows of the store are read, not only the first 500

Cause: an answer holds 500 rows at most, and the rest was never asked for. Departures sort before members, so in a fleet of 300 with 200 departures some members are not found by a daemon that starts; of 1,000 half are not.

The stand-in of the store now answers in pages as the platform does.

--- a/goldcresthoist/fleet/registration.py
+++ b/goldcresthoist/fleet/registration.py
@@ -141,26 +141,34 @@
 
     async def _read(self):
         """Take over the rows; return the addresses that have one."""
-        page = await self.store.rows(MEMBER_TABLE)
         present = set()
-        for row in page.rows:
-            if row.key.startswith(MEMBER_PREFIX):
-                record = decode_record(row.value)
-                if record is None or row.key != MEMBER_PREFIX + record.ip:
-                    self.log.event("row ignored", key=row.key)
-                    continue
-                present.add(record.ip)
-                self.directory.learn(record)
-            elif row.key.startswith(DEPARTED_PREFIX):
-                departed = decode_record(row.value, Departed)
-                if departed is not None and row.key == DEPARTED_PREFIX + departed.ip:
-                    if departed.ip not in self.directory.departures:
-                        self.directory.learn_departure(departed)
-            elif row.key.startswith(KNEE_PREFIX):
-                self.directory.learn_knee(row.key.removeprefix(KNEE_PREFIX))
+        first, following = None, ""
+        while following != first:
+            page = await self.store.rows(MEMBER_TABLE, following)
+            for row in page.rows:
+                self._take_row(row, present)
+            first, following = following, page.following
+            if not following:
+                break
         self.loaded.set()
         return present
 
+    def _take_row(self, row, present):
+        if row.key.startswith(MEMBER_PREFIX):
+            record = decode_record(row.value)
+            if record is None or row.key != MEMBER_PREFIX + record.ip:
+                self.log.event("row ignored", key=row.key)
+                return
+            present.add(record.ip)
+            self.directory.learn(record)
+        elif row.key.startswith(DEPARTED_PREFIX):
+            departed = decode_record(row.value, Departed)
+            if departed is not None and row.key == DEPARTED_PREFIX + departed.ip:
+                if departed.ip not in self.directory.departures:
+                    self.directory.learn_departure(departed)
+        elif row.key.startswith(KNEE_PREFIX):
+            self.directory.learn_knee(row.key.removeprefix(KNEE_PREFIX))
+
     async def _compare(self):
         known = set(self.directory.members)
         present = await self._read()
--- a/goldcresthoist/fleet/tests/builders.py
+++ b/goldcresthoist/fleet/tests/builders.py
@@ -7,6 +7,10 @@
 __all__ = ["FakeChannel", "FakeCounters", "FakeLog", "FakeStore", "make_record"]
 
 
+# Rows in one answer of the fake store.
+PAGE_ROWS = 10
+
+
 class FakeLog:
     """Keeps events."""
 
@@ -59,8 +63,10 @@
 
         if self.error is not None:
             raise self.error
-        rows = tuple(Row(key, value, 1, False) for key, value in self.kept.items())
-        return RowPage(rows, 1)
+        keys = sorted(key for key in self.kept if key >= first)
+        following = keys[PAGE_ROWS - 1] if len(keys) > PAGE_ROWS else ""
+        rows = [Row(key, self.kept[key], 1, False) for key in keys[:PAGE_ROWS]]
+        return RowPage(tuple(rows), 1, following)
 
 
 def make_record(ip, service="ledger", born_ms=1):
--- a/goldcresthoist/fleet/tests/test_registration.py
+++ b/goldcresthoist/fleet/tests/test_registration.py
@@ -73,6 +73,18 @@
         await self.registration.record_departure(Departed("10.0.0.1", "i-1", 7))
         self.assertEqual(self.log.events[-1][0], "departure not stored")
 
+    async def test_members_of_all_pages_are_found(self):
+        """Guards against a large fleet of which only the first rows are known.
+
+        The store answers 500 rows at a time; the departures sort before the members.
+        """
+        for number in range(40):
+            ip = f"10.0.1.{number}"
+            self.store.kept[MEMBER_PREFIX + ip] = encode_record(make_record(ip))
+        present = await self.registration._read()
+        self.assertEqual(len(present), 41)
+        self.assertEqual(len(self.directory.members), 42)
+
     async def test_knee_of_a_service_outlives_its_daemons(self):
         """Guards against upstreams filled beyond their knee after a loss of power."""
         self.registration.record_knee("lookup")
--- a/goldcresthoist/platform/store.py
+++ b/goldcresthoist/platform/store.py
@@ -53,10 +53,20 @@
 
 @dataclass(frozen=True, slots=True)
 class RowPage:
-    """Rows as of one moment; ``version`` is the newest one of the whole store."""
+    """Rows as of one moment.
+
+    Attributes
+    ----------
+    version : int
+        The newest version of the whole store.
+    following : str
+        The key from which more rows follow, and which comes again with them; empty
+        after the last page.
+    """
 
     rows: tuple[Row, ...]
     version: int
+    following: str = ""
 
 
 class _Row(msgspec.Struct, frozen=True):
@@ -69,6 +79,7 @@
 class _Answer(msgspec.Struct, frozen=True):
     rows: tuple[_Row, ...] = ()
     ver: int = 0
+    truncated: bool = False
 
 
 _decoder = msgspec.json.Decoder(_Answer)
@@ -263,4 +274,5 @@
                 self.counters.add("store_rows_malformed")
                 continue
             rows.append(Row(item.key, value, item.ver, item.deleted))
-        return RowPage(tuple(rows), answer.ver)
+        following = answer.rows[-1].key if answer.truncated and answer.rows else ""
+        return RowPage(tuple(rows), answer.ver, following)
--- a/goldcresthoist/platform/tests/test_store.py
+++ b/goldcresthoist/platform/tests/test_store.py
@@ -39,6 +39,19 @@
         page = await self.client.rows(TABLE, "b/")
         self.assertEqual([row.key for row in page.rows], ["b/1"])
 
+    async def test_long_tables_come_in_pages(self):
+        """Guards against rows beyond the first 500 that nobody ever reads."""
+        values = {f"row/{number:04}": b"x" for number in range(700)}
+        for start in range(0, 700, 100):
+            keys = sorted(values)[start : start + 100]
+            await self.client.put(TABLE, {key: values[key] for key in keys})
+        page = await self.client.rows(TABLE)
+        self.assertEqual(page.following, "row/0499")
+        rest = await self.client.rows(TABLE, page.following)
+        self.assertEqual(rest.following, "")
+        found = {row.key for row in page.rows + rest.rows}
+        self.assertEqual(found, set(values))
+
     async def test_malformed_row_hides_no_other(self):
         """Guards against a forged row that makes all others unreadable."""
         self.store.put(TABLE, "bad", "not base64!")
--- a/goldcresthoist/tests/standins/platform_store.py
+++ b/goldcresthoist/tests/standins/platform_store.py
@@ -14,6 +14,8 @@
 __all__ = ["PlatformStore", "main"]
 
 POLL_S = 0.01
+# Rows in one answer of the platform at most.
+MOST_ROWS = 500
 
 
 class PlatformStore:
@@ -66,11 +68,13 @@
         await self._fault()
         first = request.query.get("from", "")
         table = request.query["table"]
-        return self._answer(
+        limit = min(int(request.query.get("limit", MOST_ROWS)), MOST_ROWS)
+        found = [
             (key, row)
             for key, row in sorted(self.rows.items())
             if key[0] == table and key[1] >= first and not row[2]
-        )
+        ]
+        return self._answer(found[:limit], len(found) > limit)
 
     async def _feed(self, request):
         await self._fault()
@@ -104,13 +108,13 @@
             request.transport.abort()
         return web.json_response({"ver": self.version, "now_s": 0.0})
 
-    def _answer(self, rows):
+    def _answer(self, rows, truncated=False):
         found = [
             {"key": key, "value": value, "ver": version, "deleted": removed}
             for (_, key), (value, version, removed) in rows
         ]
         return web.json_response(
-            {"rows": found, "truncated": False, "ver": self.version, "now_s": 0.0}
+            {"rows": found, "truncated": truncated, "ver": self.version, "now_s": 0.0}
         )
 
 
