One fingerprint of requests; a copy that was not sent gives its token back

Found in the last read: the fingerprint stood in daemon/call_head.py and again in node/request.py, the budget's token was kept when no upstream was left for a second copy, and the request id was read from the headers for each use.

--- a/goldcresthoist/node/request.py
+++ b/goldcresthoist/node/request.py
@@ -1,11 +1,11 @@
 """One request on its way through upstreams."""
 
 import asyncio
-import hashlib
 from time import monotonic
 
 from goldcresthoist.balance import Outcome
 from goldcresthoist.daemon.attempt import Attempt
+from goldcresthoist.daemon.call_head import fingerprint
 from goldcresthoist.daemon.relay import relay_answer
 from goldcresthoist.links import LinkClosed
 from goldcresthoist.links.frames import Failed, FailureKind, Head, Open, Refuse
@@ -16,7 +16,6 @@
 # Request bodies up to this size travel with the offer and are kept for a second one;
 # the rest of a larger one follows when the upstream's daemon has a slot for it.
 PREFIX_BYTES = 8 * 1024
-FINGERPRINT_BYTES = 16
 # Daemons that a request is offered to before it is refused.
 MOST_OFFERS = 5
 # A second copy is sent when this share of the aim has passed without an answer.
@@ -205,17 +204,13 @@
             if length is None or length <= PREFIX_BYTES:
                 self.prefix = await body.read_up_to(PREFIX_BYTES)
                 self.body_complete = body.exhausted
-        mark = hashlib.blake2b(digest_size=FINGERPRINT_BYTES)
-        for part in (
-            self.entry.caller_service,
-            self.request.method.encode(),
-            self.target.encode(),
-            str(self.request.content_length).encode(),
+        self.fingerprint = fingerprint(
+            self.entry.caller_service.decode(),
+            self.request.method,
+            self.target,
+            self.request.content_length,
             self.prefix,
-        ):
-            mark.update(len(part).to_bytes(4, "big"))
-            mark.update(part)
-        self.fingerprint = mark.digest()
+        )
         returning = self.entry.returning
         self.first_sent = returning.first_attempt(self.fingerprint, self.arrived)
 
@@ -301,7 +296,9 @@
             self.entry.counters.add("retries_denied")
             return None
         hedge = self._offer(hedge=True)
-        if hedge is not None:
+        if hedge is None:
+            self.service.budget.give_back()
+        else:
             self.entry.counters.add("hedges", service=self.service.name)
         return hedge
 
--- a/goldcresthoist/node/run.py
+++ b/goldcresthoist/node/run.py
@@ -71,7 +71,15 @@
 class UpstreamRun:
     """Runs one admitted call and answers it through the link."""
 
-    __slots__ = ("call", "connection", "future", "sender", "server", "slot_call")
+    __slots__ = (
+        "call",
+        "connection",
+        "future",
+        "request_id",
+        "sender",
+        "server",
+        "slot_call",
+    )
 
     def __init__(self, server, call, slot_call, future):
         self.server = server
@@ -79,6 +87,7 @@
         self.slot_call = slot_call
         # None when the call has its slot already.
         self.future = future
+        self.request_id = read_request_fields(call.open.headers).request_id
         self.connection = None
         self.sender = None
 
@@ -169,7 +178,7 @@
         headers = addressed_headers(message.headers, own.identity, time_left_ms)
         writer = RequestWriter(message, time_left_ms, headers)
         data = writer.start()
-        self.connection.expect(read_request_fields(message.headers).request_id)
+        self.connection.expect(self.request_id)
         self.connection.send(data, message.method == "HEAD")
         if not message.end:
             self.call.admit()
@@ -252,7 +261,7 @@
                 count = server.crashed(call.open)
         server.log.event(
             "upstream failed",
-            id=_text(read_request_fields(call.open.headers).request_id),
+            id=_text(self.request_id),
             upstream=server.own.identity,
             kind=kind,
             error=str(error),
