--- a/goldcresthoist/node/assembly.py
+++ b/goldcresthoist/node/assembly.py
@@ -223,6 +223,9 @@
         server.head_timeout_s = limits.header_timeout_s
         server.idle_timeout_s = limits.idle_timeout_s
         self.services.forget_routes(table)
+        if self.own.usable() and not self.server.queue.pace.known:
+            # The health path may not have been known when the upstream was met.
+            self.server.probe.ask()
 
     def _health_path(self):
         table = self.watch.table
--- a/goldcresthoist/node/pace_probe.py
+++ b/goldcresthoist/node/pace_probe.py
@@ -34,7 +34,7 @@
     Attributes
     ----------
     health_path : callable
-        Returns the path of the health check, None when it is not known.
+        Returns the path of the health check; None or "" when it is not known.
     """
 
     def __init__(self, server, counters, log):
@@ -61,7 +61,7 @@
         self.asked_at = monotonic()
         queue = self.server.queue
         path = self.health_path()
-        if path is None:
+        if not path:
             # There is no configuration yet, or it does not name the service.
             queue.unasked_until = monotonic() + FIRST_PAUSE_S
             queue.fill(monotonic())
--- a/goldcresthoist/node/tests/site.py
+++ b/goldcresthoist/node/tests/site.py
@@ -66,7 +66,10 @@
         route("write", "/write/", "non_idempotent", "ledger"),
         route("upload", "/upload/", "upload", "ledger"),
     ]
-    return {"version": version, "routes": routes, "services": [], "limits": {}}
+    services = [
+        {"name": name, "health_path": "/health"} for name in ("listen", "ledger")
+    ]
+    return {"version": version, "routes": routes, "services": services, "limits": {}}
 
 
 class Answer:
--- a/goldcresthoist/node/tests/test_pace_probe.py
+++ b/goldcresthoist/node/tests/test_pace_probe.py
@@ -83,8 +83,9 @@
 
     async def test_without_a_health_path_nothing_is_sent(self):
         """Guards against a probe to a path that the configuration does not name."""
-        self.probe.health_path = lambda: None
-        await self.ask()
+        for path in (None, ""):
+            self.probe.health_path = lambda path=path: path
+            await self.ask()
         self.assertEqual(self.target.probes, 0)
         self.assertGreater(self.server.queue.unasked_until, monotonic())
 
--- a/goldcresthoist/node/tests/test_path.py
+++ b/goldcresthoist/node/tests/test_path.py
@@ -3,7 +3,9 @@
 import asyncio
 import unittest
 from collections import Counter
+from time import monotonic
 
+from goldcresthoist.balance.slots import FRESH_PACE_S
 from goldcresthoist.node.lifecycle import drain
 from goldcresthoist.node.tests.site import Site, configuration, wait_until
 from goldcresthoist.tests.standins.platform_target import seal_of
@@ -53,6 +55,19 @@
         self.assert_served(*await self.site.call(self.first, "/read/2"))
         self.assertEqual(len(returning.first_sent), 1)
 
+    async def test_upstream_in_a_slow_phase_gets_no_usual_work(self):
+        """Guards against work started where it takes seven times its usual time."""
+        gauge = self.site.nodes[self.first].server.queue.pace
+        await wait_until(lambda: gauge.known)
+        self.site.targets[self.first].pace = 700
+        # Work may start on a figure that is still fresh.
+        await wait_until(lambda: gauge.is_stale(monotonic(), FRESH_PACE_S))
+        calls = [self.site.call(self.first, f"/read/{n}?ms=100") for n in range(3)]
+        for found in await asyncio.gather(*calls):
+            self.assert_served(*found)
+        self.assertEqual(self.site.targets[self.first].runs, [])
+        self.assertEqual(len(self.site.targets[self.second].runs), 3)
+
     async def test_stopped_daemon_serves_its_upstream_for_a_while(self):
         """Guards against upstreams that nobody reaches while daemons stop in turn.
 
--- a/goldcresthoist/tests/soak/run.py
+++ b/goldcresthoist/tests/soak/run.py
@@ -137,6 +137,7 @@
             self._reload,
             self._replace_upstream,
             self._crash_upstream,
+            self._slow_upstream,
         )
         async with asyncio.TaskGroup() as group:
             while monotonic() < until:
@@ -225,6 +226,17 @@
         await asyncio.sleep(self.random.uniform(0.1, 0.8))
         await self._start_upstream(ip, target)
 
+    async def _slow_upstream(self, ip):
+        """Let an upstream tell a slow phase; its health check may hang meanwhile."""
+        target = self.fleet.targets.get(ip)
+        if target is None:
+            return
+        target.pace = 700
+        target.health_hangs = self.random.random() < 0.3
+        await asyncio.sleep(self.random.uniform(0.1, 3.0))
+        target.pace = 100
+        target.health_hangs = False
+
     async def _start_upstream(self, ip, target):
         self.targets.append(target)
         await target.stop()
