--- a/goldcresthoist/tests/test_system.py
+++ b/goldcresthoist/tests/test_system.py
@@ -66,6 +66,10 @@
     def setUpClass(cls):
         cls.fleet = start_fleet(cls)
 
+    def tearDown(self):
+        # The runner shows this only with a failure: which daemons ended, and why.
+        print(self.fleet.logs())
+
     def runs(self, service, key):
         """Return how often the upstreams of a service received a key."""
         targets = self.fleet.of_service(service)
