Limit the bytes of a message that are neither head nor body

Cause: the parser library keeps a trailer line until it ends and skips chunk extensions, trailers and blank lines without a report, so nothing counted them. One caller or upstream could take all memory of a daemon.

Change: FramingMeter charges each message with the received bytes that no callback of the parser accounts for; beyond max_header_bytes the connection ends. The minimal framing of a chunk belongs to the body, which max_body_bytes limits also without a stated length. Limits of a new configuration now hold on open connections. A caller with an invalid body gets 400, 413 or 431 instead of a reset, and the connection lingers so that the answer can be read. The own interface said not-run for a body that turned invalid after an upstream had the start of it; it now says unknown or failed. Dropped responses, pages of the store and signed calls have limits. A connection that was released while its reading was paused reads on.

Links (frames of at most 256 KiB, 1 KiB before the handshake), gossip (datagrams), announcements (16 KiB) and the operators' server (limit set) were looked at: bounded.

--- a/goldcresthoist/access/http.py
+++ b/goldcresthoist/access/http.py
@@ -18,6 +18,9 @@
 # The signature covers a hash of the body. Larger bodies are hashed in a thread so that
 # they do not block the event loop.
 MAX_INLINE_BODY_BYTES = 256 * 1024
+# Limit on the body of a response that is returned whole. Pages of rows have at most
+# 1 MB, and larger objects are read as streams.
+MAX_RESPONSE_BYTES = 16 * 1024 * 1024
 _SIGNERS = {"s3": S3SigV4Auth}
 # Errors that aiohttp raises before any byte of the request is sent.
 _CONNECT_ERRORS = (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError)
@@ -123,8 +126,18 @@
     async def _exchange(self, method, path, headers, body):
         response = await self._send(method, path, headers, body)
         async with response:
-            content = await response.read()
-            return HttpResponse(response.status, dict(response.headers), content)
+            parts = []
+            size = 0
+            async for data in response.content.iter_any():
+                parts.append(data)
+                size += len(data)
+                if size > MAX_RESPONSE_BYTES:
+                    response.close()
+                    limit = MAX_RESPONSE_BYTES
+                    raise CallFailed(f"{method} {path}: more than {limit} bytes")
+            return HttpResponse(
+                response.status, dict(response.headers), b"".join(parts)
+            )
 
     async def _send(self, method, path, headers, body):
         request = AWSRequest(method, self.url + path, headers, body or None)
--- a/goldcresthoist/callers/errors.py
+++ b/goldcresthoist/callers/errors.py
@@ -1,6 +1,12 @@
 """Errors of the HTTP server for callers."""
 
-__all__ = ["BadRequest", "CallerError", "CallerGone", "HeadersTooLarge"]
+__all__ = [
+    "BadRequest",
+    "BodyTooLarge",
+    "CallerError",
+    "CallerGone",
+    "HeadersTooLarge",
+]
 
 
 class CallerError(Exception):
@@ -17,10 +23,16 @@
 
 
 class HeadersTooLarge(CallerError):
-    """The request target and the header fields together exceed the size limit."""
+    """The header fields, or bytes outside the head and the body, exceed the limit."""
 
     code = "headers-too-large"
 
 
+class BodyTooLarge(CallerError):
+    """The body exceeds the size limit."""
+
+    code = "body-too-large"
+
+
 class CallerGone(CallerError):
     """The caller closed its connection."""
--- a/goldcresthoist/callers/refusal.py
+++ b/goldcresthoist/callers/refusal.py
@@ -7,6 +7,7 @@
 STATUS_BY_CODE = {
     "bad-request": 400,
     "headers-too-large": 431,
+    "body-too-large": 413,
     "unknown-service": 404,
     "unknown-work": 404,
     "key-required": 400,
--- a/goldcresthoist/callers/request.py
+++ b/goldcresthoist/callers/request.py
@@ -8,8 +8,14 @@
     INTERPRETED_FIELDS,
     apply_interpreted_fields,
 )
-from goldcresthoist.callers.errors import BadRequest, HeadersTooLarge
-from goldcresthoist.http_fields import MAX_HEADER_BYTES
+from goldcresthoist.callers.errors import BadRequest, BodyTooLarge, HeadersTooLarge
+from goldcresthoist.callers.limits import ConnectionLimits
+from goldcresthoist.framing import (
+    CHUNK_FRAMING_BYTES,
+    FIELD_FRAMING_BYTES,
+    START_BYTES,
+    FramingMeter,
+)
 from goldcresthoist.streams import BodyStream
 
 __all__ = ["CallerRequest", "RequestParser"]
@@ -71,10 +77,17 @@
 
     ``on_request(request)`` is called when the head of a request is complete,
     ``on_consumed(size)`` when the consumer of a body has read bytes of it.
+
+    Attributes
+    ----------
+    limits : ConnectionLimits
+        May be replaced while the connection is open.
+    in_head : bool
+        Whether the head of a request has begun and is incomplete.
     """
 
-    def __init__(self, on_request, on_consumed, max_header_bytes=MAX_HEADER_BYTES):
-        self.max_header_bytes = max_header_bytes
+    def __init__(self, on_request, on_consumed, limits=None):
+        self.limits = limits or ConnectionLimits()
         self.on_request = on_request
         self.on_consumed = on_consumed
         self.parser = httptools.HttpRequestParser(self)
@@ -82,7 +95,8 @@
         self.interpreted_fields = []
         self.url = b""
         self.head_bytes = 0
-        self.fed_bytes = 0
+        self.body_bytes = 0
+        self.meter = FramingMeter(self.limits.max_header_bytes)
         self.in_head = False
 
     def feed(self, data):
@@ -90,9 +104,9 @@
 
         Raises
         ------
-        BadRequest, HeadersTooLarge
-            When the input is invalid. No more input can be parsed, so the connection
-            must be closed.
+        BadRequest, HeadersTooLarge, BodyTooLarge
+            When the input is invalid or exceeds a limit. No more input can be parsed,
+            so the connection must be closed.
         """
         try:
             self.parser.feed_data(data)
@@ -102,12 +116,11 @@
             raise _callback_error(exc) from exc
         except httptools.HttpParserError as exc:
             raise BadRequest(f"invalid HTTP/1.1 request: {exc}") from exc
-        if self.in_head:
-            # The parser reports a header field only when it is complete. An incomplete
-            # field is limited by the bytes fed since the start of the head.
-            self.fed_bytes += len(data)
-            if self.fed_bytes > 2 * self.max_header_bytes:
-                raise HeadersTooLarge(f"headers exceed {self.max_header_bytes} bytes")
+        self.meter.limit = self.limits.max_header_bytes
+        if not self.meter.end_read(len(data)):
+            raise HeadersTooLarge(
+                f"bytes outside the head and the body exceed {self.meter.limit} bytes"
+            )
 
     def on_message_begin(self):
         """Start a new request."""
@@ -115,13 +128,14 @@
         self.interpreted_fields = []
         self.url = b""
         self.head_bytes = 0
-        self.fed_bytes = 0
+        self.body_bytes = 0
+        self.meter.start_message()
         self.in_head = True
 
     def on_url(self, url):
         """Append a fragment of the request target."""
         self.url += url
-        self.head_bytes += len(url)
+        self._add_to_head(len(url))
 
     def on_header(self, name, value):
         """Add one header field; trailer fields are discarded."""
@@ -130,7 +144,7 @@
         if value is None:
             value = b""
         name = name.lower()
-        self.head_bytes += len(name) + len(value) + 4
+        self._add_to_head(len(name) + len(value) + FIELD_FRAMING_BYTES)
         if name in INTERPRETED_FIELDS:
             self.interpreted_fields.append((name, value))
         else:
@@ -140,16 +154,13 @@
         """Validate the head and pass the request to ``on_request``."""
         self.in_head = False
         request = self.request
-        limit = self.max_header_bytes
-        if self.head_bytes > limit:
-            raise HeadersTooLarge(
-                f"headers of {self.head_bytes} bytes exceed {limit} bytes"
-            )
         if self.parser.should_upgrade():
             # The parser treats all bytes after the head as another protocol, so the
             # boundary between the body and the next request would be unknown.
             raise BadRequest("protocol upgrades are not supported")
-        request.method = self.parser.get_method().decode("ascii")
+        method = self.parser.get_method()
+        self.meter.add_content(len(method) + START_BYTES)
+        request.method = method.decode("ascii")
         request.target = _origin_form(self.url)
         request.http10 = self.parser.get_http_version() != "1.1"
         request.keep_alive = self.parser.should_keep_alive()
@@ -157,12 +168,23 @@
         request.body = BodyStream(self.on_consumed)
         self.on_request(request)
 
+    def on_chunk_header(self):
+        """Count the framing of a chunk as part of the body."""
+        self.meter.add_content(CHUNK_FRAMING_BYTES)
+
     def on_body(self, data):
         """Add body bytes."""
+        size = len(data)
+        self.meter.add_content(size)
+        self.body_bytes += size
+        limit = self.limits.max_body_bytes
+        if limit is not None and self.body_bytes > limit:
+            raise BodyTooLarge(f"the body exceeds {limit} bytes")
         self.request.body.feed(data)
 
     def on_message_complete(self):
         """Mark the body as complete."""
+        self.meter.start_message()
         self.request.body.end()
         self.request = None
 
@@ -171,10 +193,17 @@
         if self.request is not None and self.request.body is not None:
             self.request.body.fail(error)
 
+    def _add_to_head(self, size):
+        self.meter.add_content(size)
+        self.head_bytes += size
+        limit = self.limits.max_header_bytes
+        if self.head_bytes > limit:
+            raise HeadersTooLarge(f"headers exceed {limit} bytes")
+
 
 def _callback_error(exc):
     cause = exc.__context__ or exc.__cause__
-    if isinstance(cause, BadRequest | HeadersTooLarge):
+    if isinstance(cause, BadRequest | HeadersTooLarge | BodyTooLarge):
         return cause
     return BadRequest(f"invalid HTTP/1.1 request: {cause}")
 
--- a/goldcresthoist/callers/server.py
+++ b/goldcresthoist/callers/server.py
@@ -5,18 +5,19 @@
 
 from goldcresthoist.callers.errors import BadRequest, CallerError, CallerGone
 from goldcresthoist.callers.exchange import Exchange
+from goldcresthoist.callers.limits import ConnectionLimits
+from goldcresthoist.callers.refusal import Outcome, Refusal
 from goldcresthoist.callers.request import RequestParser
-from goldcresthoist.http_fields import MAX_HEADER_BYTES
 
 __all__ = ["CallerConnection", "CallerServer"]
 
-HEAD_TIMEOUT_S = 15.0
-IDLE_TIMEOUT_S = 120.0
 SWEEP_INTERVAL_S = 5.0
 MAX_UNREAD_BODY_BYTES = 128 * 1024
 MAX_PIPELINED_REQUESTS = 16
-# Time that a caller has to finish the request body after the response was sent.
+# After the response was sent, the caller may still send for this long, and bytes that
+# are no request up to this number. They are discarded.
 DISCARD_TIMEOUT_S = 2.0
+MAX_DISCARDED_BYTES = 1024 * 1024
 
 
 class CallerServer:
@@ -34,6 +35,11 @@
         It may set ``exchange.begin_result`` to an object with a method
         ``cancel_pending()``, which is called if the connection ends before the handler
         is called.
+
+    Attributes
+    ----------
+    limits : ConnectionLimits
+        Replaced by `set_limits`.
     """
 
     def __init__(self, handler, counters, begin=None):
@@ -44,9 +50,13 @@
         self.draining = False
         self.listener = None
         self.sweep_task = None
-        self.max_header_bytes = MAX_HEADER_BYTES
-        self.head_timeout_s = HEAD_TIMEOUT_S
-        self.idle_timeout_s = IDLE_TIMEOUT_S
+        self.limits = ConnectionLimits()
+
+    def set_limits(self, limits):
+        """Replace the limits, also those of open connections."""
+        self.limits = limits
+        for connection in self.connections:
+            connection.parser.limits = limits
 
     async def listen(self, host, port):
         """Start accepting connections."""
@@ -96,13 +106,12 @@
         self.server = server
         self.loop = asyncio.get_running_loop()
         self.transport = None
-        self.parser = RequestParser(
-            self._on_request, self._on_consumed, server.max_header_bytes
-        )
+        self.parser = RequestParser(self._on_request, self._on_consumed, server.limits)
         self.pending_requests = deque()
         self.current_exchange = None
         self.begun_exchange = None
         self.parse_error = None
+        self.discarded_bytes = 0
         self.task = None
         self.request_waiter = None
         self.drain_waiter = None
@@ -121,13 +130,17 @@
     def data_received(self, data):
         """Parse received bytes and wake the task when a request is ready."""
         if self.parse_error is not None:
+            self.discarded_bytes += len(data)
+            if self.discarded_bytes > MAX_DISCARDED_BYTES:
+                self.transport.abort()
             return
         try:
             self.parser.feed(data)
         except CallerError as exc:
+            self.server.counters.add("caller_input_errors", code=exc.code)
             self.parse_error = exc
             self.parser.fail(exc)
-            self._pause_reading()
+            self._resume_reading()
             self._wake_task()
             return
         if self.pending_requests and self.server.begin is not None:
@@ -188,9 +201,9 @@
         """Close the connection if no complete head arrives within the time limit."""
         if self.current_exchange is not None or self.pending_requests:
             return
-        server = self.server
+        limits = self.server.limits
         in_head = self.parser.in_head
-        limit = server.head_timeout_s if in_head else server.idle_timeout_s
+        limit = limits.head_timeout_s if in_head else limits.idle_timeout_s
         if now - self.waiting_since > limit:
             self.server.counters.add("caller_connections_timed_out")
             self.transport.abort()
@@ -219,7 +232,11 @@
         too_many_requests = len(self.pending_requests) > MAX_PIPELINED_REQUESTS
         if too_many_requests or self._unread_bytes() > MAX_UNREAD_BODY_BYTES:
             self._pause_reading()
-        elif self.read_paused and self.parse_error is None:
+        else:
+            self._resume_reading()
+
+    def _resume_reading(self):
+        if self.read_paused and not self.transport.is_closing():
             self.read_paused = False
             self.transport.resume_reading()
 
@@ -250,10 +267,13 @@
         try:
             while await self._handle_next():
                 self.waiting_since = self.loop.time()
+            if self.parse_error is not None:
+                await self._linger()
         except CallerGone:
             pass
         except CallerError as exc:
-            self._refuse_and_close(exc)
+            self._refuse(exc)
+            await self._linger()
         finally:
             if (
                 self.begun_exchange is not None
@@ -267,13 +287,19 @@
         """Handle one request; return whether the connection stays open."""
         request = await self._next_request()
         if request is None:
-            self._refuse_and_close(self.parse_error)
+            self._refuse(self.parse_error)
             return False
         exchange = self.begun_exchange or Exchange(self, request, self.server.draining)
         self.current_exchange = exchange
         self.begun_exchange = None
         try:
             await self.server.handler(request, exchange)
+        except CallerGone:
+            raise
+        except CallerError as exc:
+            # The handler may have acted on the valid part of the body.
+            if not exchange.started:
+                exchange.answer(Refusal(exc.code, str(exc), Outcome.UNKNOWN))
         finally:
             self.current_exchange = None
             if not exchange.finished:
@@ -307,7 +333,16 @@
                 BadRequest("the response was sent before the request body was complete")
             )
 
-    def _refuse_and_close(self, error):
+    async def _linger(self):
+        """Discard what the caller still sends until it closes the connection.
+
+        See `_discard_body` for the reason.
+        """
+        if not self.closed and not self.transport.is_closing():
+            self.transport.write_eof()
+            await asyncio.sleep(DISCARD_TIMEOUT_S)
+
+    def _refuse(self, error):
         """Send a refusal for input that is not a valid request."""
         if self.closed or self.transport.is_closing():
             return
--- a/goldcresthoist/callers/tests/test_caller_server.py
+++ b/goldcresthoist/callers/tests/test_caller_server.py
@@ -3,7 +3,8 @@
 import asyncio
 import unittest
 
-from goldcresthoist.callers import CallerServer
+from goldcresthoist.callers import CallerServer, ConnectionLimits
+from goldcresthoist.callers.server import MAX_DISCARDED_BYTES
 from goldcresthoist.tests.cluster import RawCaller, eventually
 from goldcresthoist.tests.fakes import PlainCounters
 
@@ -108,6 +109,73 @@
                 self.assertEqual(answer.status, 431)
                 self.assertEqual(answer.code, "headers-too-large")
 
+    async def test_bytes_without_end_are_refused(self):
+        """Guards against bytes that the parser keeps or skips without a limit.
+
+        A parser library keeps a trailer line until it ends, so one connection could
+        use all memory of the daemon.
+        """
+        head = b"POST /a HTTP/1.1\r\n" + HOST + b"Transfer-Encoding: chunked\r\n\r\n"
+        chunk = b"2\r\nok\r\n"
+        cases = {
+            "trailer line": (head + chunk + b"0\r\nx: ", b"a" * 4096),
+            "trailer lines": (head + chunk + b"0\r\n", b"x: 1\r\n" * 700),
+            "chunk extension": (head + chunk + b"1;x=", b"a" * 4096),
+            "line ends": (b"", b"\r\n" * 2048),
+        }
+        for name, (start, repeated) in cases.items():
+            with self.subTest(name):
+                caller = await self.connect()
+                caller.write(start)
+                answer = asyncio.create_task(caller.answer())
+                sent = 0
+                while not answer.done():
+                    self.assertLess(sent, 64 * len(repeated))
+                    caller.write(repeated)
+                    await asyncio.wait((answer,), timeout=0.01)
+                    sent += len(repeated)
+                self.assertEqual((await answer).status, 431)
+                self.assertEqual(await caller.read_until_closed(), b"")
+        self.assertEqual(
+            self.counters.values["caller_input_errors", ("code", "headers-too-large")],
+            len(cases),
+        )
+
+    async def test_caller_that_goes_on_sending_is_cut_off(self):
+        """Guards against a connection that stays open as long as bytes arrive."""
+        caller = await self.connect()
+        caller.write(b"broken\r\n\r\n")
+        self.assertEqual((await caller.answer()).status, 400)
+        with self.assertRaises(ConnectionError):
+            for _ in range(4 * MAX_DISCARDED_BYTES // 65536):
+                caller.writer.write(bytes(65536))
+                await caller.writer.drain()
+                await asyncio.sleep(0.001)
+
+    async def test_framing_of_many_chunks_is_no_surplus(self):
+        """Guards against a permitted body that is refused for its chunks or pipelining.
+
+        Each chunk has 5 bytes of framing, more than the limit of other bytes in all.
+        """
+        caller = await self.connect()
+        body = b"1\r\nx\r\n" * 20_000
+        head = b"POST /a HTTP/1.1\r\n" + HOST + b"Transfer-Encoding: chunked\r\n\r\n"
+        caller.write(head + body + b"0\r\n\r\n" + (GET + b"\r\n") * 10)
+        self.assertEqual(len((await caller.answer()).body), 20_002)
+        for _ in range(10):
+            self.assertEqual((await caller.answer()).status, 200)
+
+    async def test_body_limit_holds_for_chunks(self):
+        """Guards against a body limit that only a stated length is checked against."""
+        self.server.set_limits(ConnectionLimits(max_body_bytes=1000))
+        caller = await self.connect()
+        head = b"POST /a HTTP/1.1\r\n" + HOST + b"Transfer-Encoding: chunked\r\n\r\n"
+        caller.write(head + b"3e8\r\n" + bytes(1000) + b"\r\n0\r\n\r\n")
+        self.assertEqual((await caller.answer()).status, 200)
+        self.server.set_limits(ConnectionLimits(max_body_bytes=999))
+        caller.write(head + b"3e8\r\n" + bytes(1000) + b"\r\n0\r\n\r\n")
+        self.assertEqual((await caller.answer()).status, 413)
+
     async def test_trailer_fields_are_ignored(self):
         caller = await self.connect()
         caller.write(b"POST /a HTTP/1.1\r\n" + HOST)
--- a/goldcresthoist/daemon/refusals.py
+++ b/goldcresthoist/daemon/refusals.py
@@ -10,6 +10,7 @@
 __all__ = [
     "MAX_CRASHES",
     "RETRYABLE_CODES",
+    "outcome_after_failure",
     "refusal_after_failure",
     "refusal_from_frame",
 ]
@@ -40,6 +41,11 @@
     return Refusal(frame.code, frame.message, outcome, scope, frame.retry_after_ms)
 
 
+def outcome_after_failure(kind):
+    """Return the `Outcome` of a request of this kind that an upstream may have run."""
+    return Outcome.UNKNOWN if isinstance(kind, KEYED_KINDS) else Outcome.FAILED
+
+
 def refusal_after_failure(kind, failure, crash_count=0):
     """Return the refusal for a call that was started and got no response.
 
@@ -53,9 +59,7 @@
     crash_count : int
         Number of upstreams that crashed while they ran the request.
     """
-    outcome = Outcome.FAILED
-    if isinstance(kind, KEYED_KINDS):
-        outcome = Outcome.UNKNOWN
+    outcome = outcome_after_failure(kind)
     code = "upstream-failed"
     if failure.kind == FailureKind.TIMED_OUT:
         code = "deadline-exceeded"
--- a/goldcresthoist/daemon/routing.py
+++ b/goldcresthoist/daemon/routing.py
@@ -5,9 +5,10 @@
 import os
 from time import monotonic
 
-from goldcresthoist.callers import CallerError, Refusal
+from goldcresthoist.callers import CallerError, Outcome, Refusal
 from goldcresthoist.config.model import Upload
 from goldcresthoist.daemon.kinds import KEYED_KINDS
+from goldcresthoist.daemon.refusals import outcome_after_failure
 from goldcresthoist.daemon.request_matching import find_rule, split_target
 from goldcresthoist.daemon.routed_call import MAX_RETRY_BODY_BYTES, RoutedCall
 from goldcresthoist.daemon.routes import ServiceRoute
@@ -121,7 +122,7 @@
             call.on_deadline()
             self._record_call(call)
         except CallerError as exc:
-            self._refuse_invalid(exchange, exc)
+            self._refuse_invalid(exchange, exc, call)
 
     def refuse(self, exchange, code, message, retry_after_ms=0):
         """Send a refusal that states that the request did not run.
@@ -160,13 +161,19 @@
     def _is_upload(self, call):
         return self.uploads is not None and isinstance(call.rule.kind, Upload)
 
-    def _refuse_invalid(self, exchange, error):
-        """Refuse an invalid request, or abort its response if that has started."""
+    def _refuse_invalid(self, exchange, error, call=None):
+        """Refuse an invalid request, or abort its response if that has started.
+
+        ``call`` is the `RoutedCall` of a request whose body turned out to be invalid.
+        """
         if exchange.started:
             exchange.abort()
-        else:
-            exchange.keep_alive = False
-            self.refuse(exchange, error.code, str(error))
+            return
+        exchange.keep_alive = False
+        outcome = Outcome.NOT_RUN
+        if call is not None and call.started:
+            outcome = outcome_after_failure(call.rule.kind)
+        self.answer(exchange, Refusal(error.code, str(error), outcome))
 
     def _record_call(self, call):
         rule = call.rule
--- a/goldcresthoist/node/assembly.py
+++ b/goldcresthoist/node/assembly.py
@@ -7,7 +7,7 @@
 
 from goldcresthoist.addresses import split_address
 from goldcresthoist.balance import CrashSuspects
-from goldcresthoist.callers import CallerServer
+from goldcresthoist.callers import CallerServer, ConnectionLimits
 from goldcresthoist.fleet import (
     ConfigurationWatch,
     Directory,
@@ -241,10 +241,14 @@
     def _apply_table(self, table):
         """Apply the limits and the routes of a new configuration."""
         limits = table.limits
-        server = self.caller_server
-        server.max_header_bytes = limits.max_header_bytes
-        server.head_timeout_s = limits.header_timeout_s
-        server.idle_timeout_s = limits.idle_timeout_s
+        self.caller_server.set_limits(
+            ConnectionLimits(
+                limits.max_header_bytes,
+                limits.max_body_bytes,
+                limits.header_timeout_s,
+                limits.idle_timeout_s,
+            )
+        )
         self.services.discard_removed_routes(table)
         if self.own.usable() and not self.server.queue.pace.known:
             # The local upstream may have announced itself before the configuration with
--- a/goldcresthoist/node/request.py
+++ b/goldcresthoist/node/request.py
@@ -4,6 +4,8 @@
 from time import monotonic
 
 from goldcresthoist.balance import Outcome
+from goldcresthoist.callers import CallerGone
+from goldcresthoist.callers.refusal import STATUS_BY_CODE
 from goldcresthoist.daemon.attempt import Attempt
 from goldcresthoist.daemon.relay import relay_response
 from goldcresthoist.daemon.request_matching import fingerprint
@@ -255,10 +257,16 @@
             self.entry.refuse(self.exchange, 503, "deadline", self.fields.request_id)
 
     def on_caller_error(self, error):
-        """Abort the exchange after the caller disconnected or sent invalid bytes."""
-        self.outcome = "caller-gone"
-        if not self.exchange.finished:
-            self.exchange.abort()
+        """End the exchange after the caller disconnected or sent an invalid body."""
+        exchange = self.exchange
+        if isinstance(error, CallerGone):
+            self.outcome = "caller-gone"
+            if not exchange.finished:
+                exchange.abort()
+            return
+        self.outcome = "invalid-body"
+        status = STATUS_BY_CODE[error.code]
+        self.entry.refuse(exchange, status, error.code, self.fields.request_id)
 
     def finish(self):
         """Record the metrics of the request and write its log line."""
--- a/goldcresthoist/platform/store.py
+++ b/goldcresthoist/platform/store.py
@@ -20,7 +20,11 @@
     WriteConflict,
 )
 from goldcresthoist.sockets import detect_dead_peer
-from goldcresthoist.upstreams import UpstreamConnection, UpstreamError
+from goldcresthoist.upstreams import (
+    UpstreamBroken,
+    UpstreamConnection,
+    UpstreamError,
+)
 
 __all__ = ["Row", "RowPage", "StoreClient"]
 
@@ -36,6 +40,8 @@
 # A long poll times out this long after the end of the wait that it requests.
 LONG_POLL_MARGIN_S = 0.6
 MAX_PAGE_ROWS = 500
+# The platform limits a page to 1 MB of rows, and a row is larger in JSON and base64.
+MAX_RESPONSE_BYTES = 8 * 1024 * 1024
 # The probe delays are short so that daemons detect within 2 s that the store has
 # recovered.
 GATE_LIMITS = GateLimits(
@@ -253,11 +259,17 @@
             head += f"Content-Length: {len(body)}\r\n"
         connection.send(head.encode() + b"\r\n" + (body or b""), False)
         parts = []
+        size = 0
         try:
             async with asyncio.timeout_at(deadline):
                 answer = await connection.head()
                 while data := await answer.body.read():
                     parts.append(data)
+                    size += len(data)
+                    if size > MAX_RESPONSE_BYTES:
+                        raise UpstreamBroken(
+                            f"the response exceeds {MAX_RESPONSE_BYTES} bytes"
+                        )
         except (UpstreamError, TimeoutError) as exc:
             connection.close()
             reason = str(exc) or "no response before the deadline"
--- a/goldcresthoist/telemetry/_catalogue.py
+++ b/goldcresthoist/telemetry/_catalogue.py
@@ -3,6 +3,7 @@
 REFUSAL_CODES = (
     "bad-request",
     "headers-too-large",
+    "body-too-large",
     "unknown-service",
     "unknown-work",
     "key-required",
@@ -57,6 +58,7 @@
     "links_rejected": "Connections that failed the handshake, by reason.",
     "link_connects_failed": "Connections to other daemons that could not be made.",
     "answers_cut": "Answers cut off because the upstream's answer did not end.",
+    "caller_input_errors": "Connections of callers ended for their input, by code.",
     "caller_connections_timed_out": "Connections of callers closed for being idle.",
     "datagrams_dropped": "Gossip datagrams that were forged, corrupt or replayed.",
     "gossip_bytes": "Bytes of gossip, by direction.",
--- a/goldcresthoist/tests/standins/platform_target.py
+++ b/goldcresthoist/tests/standins/platform_target.py
@@ -5,8 +5,9 @@
 a test can compare the responses to callers with what was executed. ``fault`` in the
 query selects a fault: ``status`` (status 500), ``close`` (no response after the
 execution), ``truncate``, ``extra`` (a second response), ``unframed`` (no length),
-``shed`` (status 503 without execution) or ``unsealed`` (no signature). It responds to
-``/health`` at once, unless ``health_hangs`` is set.
+``shed`` (status 503 without execution), ``unsealed`` (no signature) or one of
+`ENDLESS_FAULTS` (bytes until the connection ends). It responds to ``/health`` at once,
+unless ``health_hangs`` is set.
 """
 
 import asyncio
@@ -16,7 +17,19 @@
 
 import httptools
 
-__all__ = ["PlatformTarget", "response_seal"]
+__all__ = ["ENDLESS_FAULTS", "PlatformTarget", "response_seal"]
+
+_CHUNKED = b"Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n"
+# What follows the status line and the request id, and what is repeated after it.
+ENDLESS_FAULTS = {
+    "endless-head": (b"", b"x: 1234\r\n"),
+    "endless-line": (b"x: ", b"a"),
+    "endless-interim": (b"\r\n", b"HTTP/1.1 100 Continue\r\n\r\n"),
+    "endless-trailer": (_CHUNKED + b"0\r\nx: ", b"a"),
+    "endless-extension": (_CHUNKED + b"1;x=", b"a"),
+    "endless-other": (b"Content-Length: 1000000000\r\n\r\n", b"a"),
+}
+ENDLESS_PIECE_BYTES = 64 * 1024
 
 
 def response_seal(identity, request_id, body):
@@ -141,6 +154,8 @@
         self.url = b""
         self.body = b""
         self.task = None
+        self.writable = asyncio.Event()
+        self.writable.set()
 
     def connection_made(self, transport):
         self.transport = transport
@@ -151,6 +166,12 @@
         if self.task is not None:
             self.task.cancel()
 
+    def pause_writing(self):
+        self.writable.clear()
+
+    def resume_writing(self):
+        self.writable.set()
+
     def data_received(self, data):
         self.parser.feed_data(data)
 
@@ -194,9 +215,23 @@
             await asyncio.sleep(float(query.get("ms", 0)) / 1000)
         finally:
             target.running -= 1
+        if fault in ENDLESS_FAULTS:
+            await self._send_without_end(fault, request_id)
+            return
         body = b"%b of %b" % (target.identity.encode(), request_id.encode())
         self._answer(fault, request_id, body)
 
+    async def _send_without_end(self, fault, request_id):
+        start, repeated = ENDLESS_FAULTS[fault]
+        status = 100 if fault == "endless-interim" else 200
+        named = "another" if fault == "endless-other" else request_id
+        head = f"HTTP/1.1 {status} X\r\nRequest-Id: {named}\r\n"
+        self.transport.write(head.encode() + start)
+        while not self.transport.is_closing():
+            self.transport.write(repeated * (ENDLESS_PIECE_BYTES // len(repeated)))
+            await self.writable.wait()
+            await asyncio.sleep(0.001)
+
     def _answer(self, fault, request_id, body):
         seal = response_seal(self.target.identity, request_id, body)
         headers = [] if fault == "unsealed" else [("Response-Seal", seal)]
--- a/goldcresthoist/upstreams/connection.py
+++ b/goldcresthoist/upstreams/connection.py
@@ -6,6 +6,11 @@
 
 import httptools
 
+from goldcresthoist.framing import (
+    CHUNK_FRAMING_BYTES,
+    FIELD_FRAMING_BYTES,
+    FramingMeter,
+)
 from goldcresthoist.http_fields import BODYLESS_STATUSES, MAX_HEADER_BYTES, header_value
 from goldcresthoist.streams import BodyStream
 from goldcresthoist.upstreams.errors import UpstreamBroken
@@ -60,7 +65,7 @@
     bodyless : bool
         Whether the response has no body, because of the request method or the status.
     head_bytes : int
-        Bytes received so far while the head of the response is incomplete.
+        Bytes of the header fields of the response, interim responses included.
     closed : bool
         Whether the connection has ended.
     closed_locally : bool
@@ -90,6 +95,7 @@
         self.complete = False
         self.bodyless = False
         self.head_bytes = 0
+        self.meter = FramingMeter(MAX_HEADER_BYTES)
         self.reusable = True
         self.closed = False
         self.closed_locally = False
@@ -129,6 +135,7 @@
         self.sent_at = monotonic()
         self.bodyless = is_head_request
         self.head_bytes = 0
+        self.meter.start_message()
         self.parser = httptools.HttpResponseParser(self)
         self.answer = UpstreamResponse(BodyStream(self._on_consumed))
         self.head_waiter = self.loop.create_future()
@@ -184,6 +191,9 @@
         self.busy = False
         if not usable:
             self.close()
+        elif self.read_paused:
+            # The body arrived completely and was not consumed.
+            self._resume_reading()
         self.answer = None
         return usable
 
@@ -207,10 +217,12 @@
         ) as exc:
             self._fail(UpstreamBroken(f"the response is not valid HTTP/1.1: {exc}"))
             return
+        if not self.meter.end_read(len(data)):
+            limit = self.meter.limit
+            reason = f"over {limit} bytes of the response are neither head nor body"
+            self._fail(UpstreamBroken(reason))
+            return
         if self.answer.status == 0:
-            self.head_bytes += len(data)
-            if self.head_bytes > 2 * MAX_HEADER_BYTES:
-                self._fail(UpstreamBroken("the headers of the response are too large"))
             return
         if not self.head_waiter.done():
             if self.on_response_head is not None:
@@ -251,8 +263,19 @@
 
     def on_header(self, name, value):
         """Add one header; trailer fields are dropped."""
-        if self.answer.status == 0 and not self.complete:
-            self.answer.headers.append((name.lower(), value or b""))
+        if self.answer.status != 0 or self.complete:
+            return
+        value = value or b""
+        size = len(name) + len(value) + FIELD_FRAMING_BYTES
+        self.meter.add_content(size)
+        self.head_bytes += size
+        if self.head_bytes > MAX_HEADER_BYTES:
+            raise UpstreamBroken("the headers of the response are too large")
+        self.answer.headers.append((name.lower(), value))
+
+    def on_chunk_header(self):
+        """Count the framing of a chunk as part of the body."""
+        self.meter.add_content(CHUNK_FRAMING_BYTES)
 
     def on_headers_complete(self):
         """Check the status and the framing; interim (1xx) responses are skipped."""
@@ -276,6 +299,7 @@
         if self.complete:
             self.reusable = False
         else:
+            self.meter.add_content(len(data))
             self.answer.body.feed(data)
 
     def on_message_complete(self):
@@ -318,6 +342,9 @@
 
     def _on_consumed(self, size):
         if self.read_paused and self.answer.body.size <= MAX_UNREAD_BODY_BYTES:
-            self.read_paused = False
-            if not self.closed:
-                self.transport.resume_reading()
+            self._resume_reading()
+
+    def _resume_reading(self):
+        self.read_paused = False
+        if not self.closed:
+            self.transport.resume_reading()
--- a/goldcresthoist/upstreams/request_id_connection.py
+++ b/goldcresthoist/upstreams/request_id_connection.py
@@ -9,6 +9,9 @@
 # An upstream may send a second response to an earlier request. After more than this
 # many for one request, the connection is closed, as its state is unknown.
 MAX_UNMATCHED_RESPONSES = 4
+# Limit on the body bytes of these responses, so that an endless one is not received
+# until the deadline of the request.
+MAX_UNMATCHED_BYTES = 4 * 1024 * 1024
 
 
 class RequestIdConnection(UpstreamConnection):
@@ -29,8 +32,9 @@
     ----------
     close_delimited : bool
         Whether the current response has no length and ends with the connection.
-    unmatched_count : int
-        Responses to other requests since the last request was sent.
+    unmatched_count, unmatched_bytes : int
+        Responses to other requests since the last request was sent, and the size of
+        their bodies.
     idle_since : float
         Monotonic time at which the connection became idle; 0 when it has not been used.
     idle_limit_s : float or None
@@ -43,6 +47,7 @@
         self.request_id = None
         self.skipping = False
         self.unmatched_count = 0
+        self.unmatched_bytes = 0
         self.close_delimited = False
         self.idle_since = 0.0
         self.idle_limit_s = None
@@ -52,6 +57,7 @@
         self.request_id = request_id
         self.skipping = False
         self.unmatched_count = 0
+        self.unmatched_bytes = 0
         self.close_delimited = False
 
     def on_header(self, name, value):
@@ -73,6 +79,11 @@
         """Add body bytes, unless the response is dropped."""
         if not self.skipping:
             super().on_body(data)
+            return
+        self.meter.add_content(len(data))
+        self.unmatched_bytes += len(data)
+        if self.unmatched_bytes > MAX_UNMATCHED_BYTES:
+            raise UpstreamBroken("the response to another request does not end")
 
     def on_message_complete(self):
         """End the response; after a dropped one, wait for the next response."""
--- a/goldcresthoist/upstreams/tests/test_pool.py
+++ b/goldcresthoist/upstreams/tests/test_pool.py
@@ -11,6 +11,7 @@
     UpstreamBroken,
     UpstreamUnreachable,
 )
+from goldcresthoist.upstreams.connection import MAX_UNREAD_BODY_BYTES
 
 OK = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
 REQUEST = b"GET / HTTP/1.1\r\nHost: a\r\n\r\n"
@@ -128,6 +129,50 @@
                 self.pool.release(connection)
                 self.assertNotIn(connection, self.pool.idle)
 
+    async def test_bytes_without_end_fail_the_exchange(self):
+        """Guards against bytes that the parser keeps or skips without a limit."""
+        head = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n"
+        cases = {
+            "header line": (b"HTTP/1.1 200 OK\r\nx: ", b"a" * 4096),
+            "header lines": (b"HTTP/1.1 200 OK\r\n", b"x: 1\r\n" * 700),
+            "interim responses": (b"", b"HTTP/1.1 100 Continue\r\n\r\n" * 200),
+            "line ends": (b"", b"\r\n" * 2048),
+            "trailer line": (head + b"0\r\nx: ", b"a" * 4096),
+            "trailer lines": (head + b"0\r\n", b"x: 1\r\n" * 700),
+            "chunk extension": (head + b"1;x=", b"a" * 4096),
+        }
+        for name, (start, repeated) in cases.items():
+            with self.subTest(name):
+                connection, writer = await self.start_exchange()
+                writer.write(start)
+                for _ in range(64):
+                    writer.write(repeated)
+                    await asyncio.sleep(0.001)
+                await eventually(lambda: connection.closed)
+                with self.assertRaises(UpstreamBroken):
+                    answer = await connection.head()
+                    while await answer.body.read():
+                        pass
+                self.pool.release(connection)
+
+    async def test_connection_with_an_unread_body_reads_on(self):
+        """Guards against a connection that stays paused after a body was not read."""
+        connection, writer = await self.start_exchange()
+        size = 2 * MAX_UNREAD_BODY_BYTES
+        writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % size)
+        writer.write(bytes(size))
+        answer = await connection.head()
+        while not answer.body.ended:
+            # Reading resumes when half of the body was consumed, and stops again.
+            if answer.body.size > MAX_UNREAD_BODY_BYTES:
+                await answer.body.read()
+            await asyncio.sleep(0)
+        self.pool.release(connection)
+        again, writer = await self.start_exchange()
+        self.assertIs(again, connection)
+        writer.write(OK)
+        self.assertEqual((await asyncio.wait_for(again.head(), 5)).status, 200)
+
     async def test_interim_response_is_skipped(self):
         """Guards against a 1xx response that is taken for the final one."""
         connection, writer = await self.start_exchange()
