Serve large responses, and what a configuration says beside unknown parts

Change: Download is a kind of its own, repeatable, with large responses. An unknown kind runs at most once, at one upstream; unknown fields have no effect; both are logged once for each version, counted, shown in the status and named by config check. Weighed: refusing the whole (one word takes every route out of service), dropping the route (its callers get 404 for what exists). A malformed configuration leaves the last good one in force and is no longer confirmed as the newest; version reports carry the time of the store's last response separately, or every daemon would take over as a watcher then. Host names of routes match in any case.

--- a/goldcresthoist/cli/_commands.py
+++ b/goldcresthoist/cli/_commands.py
@@ -27,10 +27,12 @@
         Usage: goldcresthoist config check FILE [--settings FILE] [--address IP:PORT]
 
         With --settings or --address, it also shows the differences to the current
-        configuration of the team, as reported by a daemon.
+        configuration of the team, as reported by a daemon. For a configuration of the
+        users' platform, it lists the kinds and fields that this release does not know.
 
         Arguments:
-          FILE                questionnaire of a team, YAML
+          FILE                questionnaire of a team, YAML; or a configuration of the
+                              users' platform, with a name that ends with .json
           --settings FILE     settings of a daemon; default $GOLDCRESTHOIST_SETTINGS
           --address IP:PORT   operator address of the daemon
         """
@@ -216,7 +218,8 @@
 
         Arguments:
           --settings FILE     settings of a daemon; default $GOLDCRESTHOIST_SETTINGS
-          --address IP:PORT   operator address of the daemon
+          --address IP:PORT   operator address of the daemon; on the users' platform the
+                              address of its metrics
           --json              print JSON instead of text
         """
         return Invocation(_status.show_status, settings, address, json)
--- a/goldcresthoist/cli/_configuration.py
+++ b/goldcresthoist/cli/_configuration.py
@@ -22,6 +22,9 @@
     Conflict,
     HistoryEntry,
 )
+from goldcresthoist.platform import PlatformFormatError, decode_configuration
+
+PLATFORM_SUFFIX = ".json"
 
 
 class Preview(msgspec.Struct, frozen=True):
@@ -40,7 +43,13 @@
 
 
 def check(file, settings, address):
-    """Validate a questionnaire locally and, if a daemon is given, against the fleet."""
+    """Validate a questionnaire locally and, if a daemon is given, against the fleet.
+
+    A file that ends with ``.json`` is a configuration of the users' platform, which is
+    only checked locally.
+    """
+    if file.endswith(PLATFORM_SUFFIX):
+        return _check_platform_configuration(file)
     document = _load_questionnaire(file)
     content = generate(Questionnaire.from_document(document, file))
     work = sum(len(service.work) for service in content.services)
@@ -54,6 +63,21 @@
     return 0
 
 
+def _check_platform_configuration(file):
+    try:
+        content = Path(file).read_bytes()
+    except OSError as exc:
+        raise InvalidAnswer(f"{file}: cannot be read: {exc.strerror}") from exc
+    try:
+        table = decode_configuration(content)
+    except PlatformFormatError as exc:
+        raise InvalidAnswer(f"{file}: {exc}") from exc
+    print(f"{file}: valid: version {table.version}, {len(table.routes)} routes")
+    for name in table.unknown:
+        print(f"  not known to this release: {name}")
+    return 0
+
+
 def apply(file, settings, address, author, base):
     """Apply a questionnaire and print how many daemons have it in force."""
     base_version = _parse_base_version(base)
--- a/goldcresthoist/cli/tests/test_cli.py
+++ b/goldcresthoist/cli/tests/test_cli.py
@@ -82,6 +82,24 @@
         self.assertEqual(status, 2)
         self.assertIn("GOLDCRESTHOIST_NODE_FILE is not set", error)
 
+    def test_check_names_unknown_parts_of_a_platform_configuration(self):
+        """Guards against an operator who takes a new setting to be in force."""
+        path = Path(temporary_folder(self)) / "config.json"
+        route = '{"name":"r","host":"h","prefix":"/","kind":"%s","timeout_s":1%s}'
+        for kind, more, lines in (
+            ("stream", ',"service":"s"', ["not known to this release: kind 'stream'"]),
+            ("idempotent", ',"service":"s"', []),
+        ):
+            path.write_text('{"version":3,"routes":[%s]}' % (route % (kind, more)))
+            status, out, _ = run("config", "check", path)
+            self.assertEqual(status, 0)
+            found = [line.strip() for line in out.splitlines()]
+            self.assertEqual(found, [f"{path}: valid: version 3, 1 routes", *lines])
+        path.write_text("{}")
+        status, _, err = run("config", "check", path)
+        self.assertEqual((status, len(err.splitlines())), (2, 1))
+        self.assertIn("version", err)
+
     def test_unreachable_daemon_is_status_1(self):
         status, _, err = run("status", "--address", "127.0.0.1:1")
         self.assertEqual((status, len(err.splitlines())), (1, 1))
--- a/goldcresthoist/fleet/configuration.py
+++ b/goldcresthoist/fleet/configuration.py
@@ -58,6 +58,8 @@
 # The other daemons together retry at this rate, regardless of the size of the fleet.
 FLEET_RETRIES_PER_S = 6.0
 
+# Largest number of unknown kinds and fields that the log line of a version lists.
+MAX_LOGGED_UNKNOWN = 10
 FETCH_TIMEOUT_S = 0.4
 # Limit on the decompressed size of a configuration received from another daemon.
 MAX_CONTENT_BYTES = 8 * 1024 * 1024
@@ -67,12 +69,12 @@
 class _WatcherReport:
     """Times of the latest `VersionReport` of one daemon, on the monotonic clock.
 
-    ``received_at`` is the time at which it was received, ``confirmed_at`` the one at
-    which the store last confirmed the version in it; minus infinity if it has not.
+    ``received_at`` is the time at which it was received, ``watched_at`` the one at
+    which the store last responded to that daemon; minus infinity if it has not.
     """
 
     received_at: float
-    confirmed_at: float
+    watched_at: float
 
 
 class ConfigurationWatch:
@@ -87,6 +89,8 @@
         raises `LinkError` or `OSError` when that fails.
     log
         Has ``event(name, **fields)``.
+    counters
+        Has ``add(name, amount=1, **labels)``.
 
     Attributes
     ----------
@@ -110,6 +114,13 @@
     confirmed_at : float
         Monotonic time at which the store last confirmed that `version` is the newest;
         minus infinity when it has not yet.
+    watched_at : float
+        Monotonic time at which the store last responded to this daemon as a watcher;
+        minus infinity when it has not yet. It is later than `confirmed_at` while the
+        newest configuration is malformed.
+    newest_malformed : bool
+        Whether the newest configuration in the store is malformed. The last valid one
+        is in force then, and is not confirmed as the newest.
     reports : dict
         The latest `_WatcherReport` by the address of its sender.
     shortfall_since : float or None
@@ -117,15 +128,18 @@
         one have been watching the store; None while there are enough.
     """
 
-    def __init__(self, directory, store, fetch, log):
+    def __init__(self, directory, store, fetch, log, counters):
         self.directory = directory
         self.store = store
         self.fetch = fetch
         self.log = log
+        self.counters = counters
         self.table = None
         self.version = -1
         self.content = b""
         self.confirmed_at = float("-inf")
+        self.watched_at = float("-inf")
+        self.newest_malformed = False
         self.cursor = None
         self.reports = {}
         self.shortfall_since = None
@@ -206,7 +220,7 @@
         return sum(
             1
             for ip, report in self.reports.items()
-            if now - report.confirmed_at < REPORT_VALIDITY_S
+            if now - report.watched_at < REPORT_VALIDITY_S
             and now - report.received_at < REPORT_VALIDITY_S
             and self.directory.rank(ip) < own
         )
@@ -256,8 +270,10 @@
         self.cursor = max(page.version, self.cursor or 0)
         for row in page.rows:
             if row.key == CONFIGURATION_KEY and not row.removed:
-                self._apply(row.value)
-        self.confirmed_at = monotonic()
+                self.newest_malformed = not self._apply(row.value)
+        self.watched_at = monotonic()
+        if not self.newest_malformed:
+            self.confirmed_at = self.watched_at
         if page.rows:
             self._send_version_report()
             await asyncio.sleep(CHANGE_BATCH_S)
@@ -267,22 +283,35 @@
             await asyncio.sleep(CHANGE_BATCH_S)
 
     def _apply(self, content):
+        """Put a configuration in force unless it is older; return whether it is valid.
+
+        A malformed one changes nothing.
+        """
         try:
             table = decode_configuration(content)
         except PlatformFormatError as exc:
             self.log.event("configuration ignored", error=str(exc))
-            return
+            self.counters.add("configurations_malformed")
+            return False
         if table.version <= self.version:
-            return
+            return True
         count = len(table.routes)
         self.log.event(
             "configuration", version=table.version, was=self.version, routes=count
         )
+        if table.unknown:
+            self.log.event(
+                "configuration not fully understood",
+                version=table.version,
+                count=len(table.unknown),
+                unknown=table.unknown[:MAX_LOGGED_UNKNOWN],
+            )
         self.version = table.version
         self.table = table
         self.content = zlib.compress(content)
         if self.on_routing_table is not None:
             self.on_routing_table(table)
+        return True
 
     async def _report_periodically(self):
         while True:
@@ -292,13 +321,13 @@
 
     def _send_version_report(self):
         own = self.directory.own.ip
-        report = VersionReport(own, self.version, self._age_ms())
+        report = VersionReport(
+            own, self.version, self._age_ms(), _age_ms(self.watched_at)
+        )
         self.directory.channel.send(report, self.directory.other_addresses())
 
     def _age_ms(self):
-        if self.version < 0 or self.confirmed_at == float("-inf"):
-            return -1
-        return int(self.age_s(monotonic()) * 1000)
+        return -1 if self.version < 0 else _age_ms(self.confirmed_at)
 
     def _on_version_report(self, message, sender):
         if sender != message.ip:
@@ -307,7 +336,11 @@
         confirmed_at = float("-inf")
         if message.age_ms >= 0:
             confirmed_at = now - message.age_ms / 1000.0
-        self.reports[message.ip] = _WatcherReport(now, confirmed_at)
+        watched_at = float("-inf")
+        if message.watch_age_ms >= 0:
+            watched_at = now - message.watch_age_ms / 1000.0
+        watched_at = max(watched_at, confirmed_at)
+        self.reports[message.ip] = _WatcherReport(now, watched_at)
         if message.version == self.version:
             self.confirmed_at = max(self.confirmed_at, confirmed_at)
         elif message.version > self.version and now - confirmed_at < REPORT_VALIDITY_S:
@@ -323,12 +356,17 @@
             async with asyncio.timeout(FETCH_TIMEOUT_S):
                 reply = await self.fetch(ip)
             if reply.content and reply.version > self.version:
-                self._apply(_decompress(reply.content))
-                self.confirmed_at = monotonic() - max(0, reply.age_ms) / 1000.0
+                if self._apply(_decompress(reply.content)):
+                    self.confirmed_at = monotonic() - max(0, reply.age_ms) / 1000.0
         except (TimeoutError, LinkError, OSError, zlib.error, ValueError) as exc:
             self.log.event("configuration not fetched", ip=ip, error=repr(exc))
 
 
+def _age_ms(since):
+    """Return the milliseconds since a monotonic time; -1 for minus infinity."""
+    return -1 if since == float("-inf") else int((monotonic() - since) * 1000)
+
+
 def _decompress(content):
     decompressor = zlib.decompressobj()
     data = decompressor.decompress(content, MAX_CONTENT_BYTES)
--- a/goldcresthoist/fleet/messages.py
+++ b/goldcresthoist/fleet/messages.py
@@ -36,12 +36,15 @@
     """The configuration version of a daemon that watches the store.
 
     ``age_ms`` is the time since the store last confirmed that this version is the
-    newest; -1 when the store has not confirmed it yet.
+    newest; -1 when the store has not confirmed it yet. ``watch_age_ms`` is the time
+    since the store last responded, which is less while the newest version is malformed;
+    -1 when it has not, or when the sender runs an earlier release.
     """
 
     ip: str
     version: int
     age_ms: int
+    watch_age_ms: int = -1
 
 
 class MemberAnnouncement(msgspec.Struct, frozen=True, array_like=True, tag=2):
--- a/goldcresthoist/node/assembly.py
+++ b/goldcresthoist/node/assembly.py
@@ -22,6 +22,7 @@
 from goldcresthoist.node.own_upstream import LocalUpstream
 from goldcresthoist.node.services import FleetServices
 from goldcresthoist.node.serving import UpstreamServer
+from goldcresthoist.node.status import NodeStatus
 from goldcresthoist.node.upstream_run import make_connection
 from goldcresthoist.platform import StoreClient
 from goldcresthoist.telemetry import Counters, DecisionLog, PlainExposition
@@ -32,6 +33,7 @@
 # The port that deploy/system.toml names for the metrics.
 METRICS_PORT = 9464
 READY_PATH = "/ready"
+STATUS_PATH = "/status"
 
 
 def fleet_key(settings):
@@ -103,7 +105,11 @@
         self.directory = Directory(self.record, self.channel, self.log)
         self.store = StoreClient(settings.store_address, self.counters)
         self.watch = ConfigurationWatch(
-            self.directory, self.store, self._fetch_configuration, self.log
+            self.directory,
+            self.store,
+            self._fetch_configuration,
+            self.log,
+            self.counters,
         )
         self.registration = Registration(
             self.directory, self.store, self.watch, self.log
@@ -145,7 +151,7 @@
             self.announcements.handle, self.counters
         )
         self.readiness_server = CallerServer(self._serve_readiness, self.counters)
-        self.metrics_server = CallerServer(self._serve_metrics, self.counters)
+        self.metrics_server = CallerServer(self._serve_operators, self.counters)
 
     def _connect_components(self):
         self.directory.on_member = self.services.add_member
@@ -166,6 +172,7 @@
         self.counters.gauge("in_flight", lambda: self.server.queue.running)
         self.counters.gauge("queued", lambda: len(self.server.queue.waiting))
         self.counters.gauge("configuration_version", lambda: self.watch.version)
+        self.counters.gauge("configuration_unknown", self._count_unknown)
         self.counters.count_from("log_lines_dropped", lambda: self.log.dropped)
 
     async def listen(self):
@@ -255,6 +262,9 @@
             # its health path arrived, so that no probe could be sent then.
             self.server.probe.trigger()
 
+    def _count_unknown(self):
+        return 0 if self.watch.table is None else len(self.watch.table.unknown)
+
     def _health_path(self):
         table = self.watch.table
         return None if table is None else table.services.get(self.own.service)
@@ -310,6 +320,17 @@
             reason = b"draining\n" if self.draining else b"no configuration\n"
             exchange.start(503, [], reason, True)
 
-    async def _serve_metrics(self, request, exchange):
+    async def _serve_operators(self, request, exchange):
+        """Serve the metrics, and the status of the daemon on `STATUS_PATH`."""
+        path, _, query = request.target.partition("?")
+        if path == STATUS_PATH:
+            status = NodeStatus.from_node(self)
+            if query == "format=text":
+                headers = [(b"Content-Type", b"text/plain; charset=utf-8")]
+                exchange.start(200, headers, status.text().encode(), True)
+            else:
+                headers = [(b"Content-Type", b"application/json")]
+                exchange.start(200, headers, msgspec.json.encode(status), True)
+            return
         headers = [(b"Content-Type", b"text/plain; version=0.0.4")]
         exchange.start(200, headers, self.counters.text(), True)
--- /dev/null
+++ b/goldcresthoist/node/status.py
@@ -0,0 +1,80 @@
+"""Status of the daemon for operators."""
+
+from time import monotonic
+
+import msgspec
+
+__all__ = ["NodeStatus"]
+
+
+class NodeStatus(msgspec.Struct, frozen=True):
+    """State of the daemon at one moment.
+
+    Attributes
+    ----------
+    configuration_version : int
+        -1 before the first configuration.
+    configuration_age_s : float or None
+        Seconds since the store confirmed that this version is the newest; None when it
+        has not yet.
+    configuration_malformed : bool
+        Whether the newest configuration in the store is malformed.
+    configuration_unknown : tuple of str
+        Kinds and fields of the configuration that this release does not know.
+    upstream_state : str
+        "usable", or the reason for which calls are refused.
+    """
+
+    instance: str
+    service: str
+    ready: bool
+    stopping: bool
+    configuration_version: int
+    configuration_age_s: float | None
+    configuration_malformed: bool
+    configuration_unknown: tuple[str, ...]
+    watching_store: bool
+    members: int
+    upstream: str
+    upstream_state: str
+    in_flight: int
+    queued: int
+    slots: int
+    pace: float
+
+    @classmethod
+    def from_node(cls, node):
+        """Return the status of a `Node`."""
+        watch = node.watch
+        queue = node.server.queue
+        age_s = None
+        if watch.confirmed_at != float("-inf"):
+            age_s = round(watch.age_s(monotonic()), 3)
+        return cls(
+            instance=node.settings.instance,
+            service=node.own.service,
+            ready=node.is_ready(),
+            stopping=node.draining,
+            configuration_version=watch.version,
+            configuration_age_s=age_s,
+            configuration_malformed=watch.newest_malformed,
+            configuration_unknown=watch.table.unknown if watch.table else (),
+            watching_store=watch.watching_store,
+            members=len(node.directory.members),
+            upstream=node.own.identity or "",
+            upstream_state=node.server.refusal_reason() or "usable",
+            in_flight=queue.running,
+            queued=len(queue.waiting),
+            slots=queue.slots,
+            pace=round(queue.pace.pace, 2),
+        )
+
+    def text(self):
+        """Return one line for each attribute."""
+        lines = []
+        for name in self.__struct_fields__:
+            value = getattr(self, name)
+            if isinstance(value, tuple):
+                value = ", ".join(value) or "nothing"
+            lines.append(f"{name.replace('_', ' ')}: {value}\n")
+        return "".join(lines)
--- a/goldcresthoist/node/tests/test_path.py
+++ b/goldcresthoist/node/tests/test_path.py
@@ -1,13 +1,20 @@
 """Tests of requests through daemons, upstreams and a store on loopback addresses."""
 
 import asyncio
+import json
 import unittest
 from collections import Counter
 from time import monotonic
 
 from goldcresthoist.balance.slots import PACE_MAX_AGE_S
+from goldcresthoist.node.assembly import METRICS_PORT
 from goldcresthoist.node.lifecycle import drain
-from goldcresthoist.node.tests.site import Site, configuration, wait_until
+from goldcresthoist.node.tests.site import (
+    Site,
+    configuration,
+    read_answer,
+    wait_until,
+)
 from goldcresthoist.tests.standins.platform_target import response_seal
 
 
@@ -91,6 +98,32 @@
         await stopping
         self.assertFalse(node.busy())
 
+    async def test_unknown_kind_runs_once_and_the_rest_is_served(self):
+        """Guards against one new kind that takes every route out of service."""
+        document = configuration(2)
+        document["routes"][0]["kind"] = "stream"
+        self.site.configure(document)
+        await wait_until(lambda: self.site.nodes[self.first].watch.version == 2)
+        self.assert_served(*await self.site.call(self.first, "/read/1"))
+        self.assert_served(*await self.site.call(self.first, "/write/1", "POST"))
+        for fault in ("close", "shed"):
+            await self.site.call(self.first, f"/read/2?fault={fault}")
+        tried = [run for target in self.site.targets.values() for run in target.runs]
+        self.assertEqual(sum("close" in run[2] for run in tried), 1)
+        rejected = [target.rejected for target in self.site.targets.values()]
+        self.assertEqual(sum(rejected), 1)
+        status = await self.get_status(self.first)
+        self.assertEqual(status["configuration_unknown"], ["kind 'stream'"])
+        self.assertEqual(status["configuration_version"], 2)
+
+    async def get_status(self, ip):
+        """Return the status that the daemon shows to operators."""
+        reader, writer = await asyncio.open_connection(ip, METRICS_PORT)
+        writer.write(b"GET /status HTTP/1.1\r\nHost: x\r\n\r\n")
+        answer = await read_answer(reader)
+        writer.close()
+        return json.loads(answer.body)
+
     async def test_unknown_routes_are_refused(self):
         """Guards against requests that are forwarded although no route matches."""
         _, answer = await self.site.call(self.first, "/other/1")
--- a/goldcresthoist/platform/configuration.py
+++ b/goldcresthoist/platform/configuration.py
@@ -1,14 +1,22 @@
-"""Decoder of the operator's configuration, which the platform's store holds as JSON."""
+"""Decoder of the operator's configuration, which the platform's store holds as JSON.
+
+A configuration may contain what this release does not know. Refusing all of it would
+take every route out of service for one new word, and dropping a route would answer its
+callers as if it did not exist. So the rest is in force: unknown fields are ignored, and
+requests of an unknown kind are treated as the most restricted one that is known.
+"""
 
 import msgspec
 
 from goldcresthoist.platform.errors import InvalidMessage
 from goldcresthoist.routes import (
     CallerLimits,
+    Download,
     Idempotent,
     NonIdempotent,
     Route,
     RoutingTable,
+    UnknownKind,
     Upload,
     WeightedService,
 )
@@ -22,7 +30,11 @@
     "idempotent": Idempotent(),
     "non_idempotent": NonIdempotent(),
     "upload": Upload(),
+    "download": Download(),
 }
+# Fields that are known and need no handling: all connections to the local upstream are
+# plain HTTP/1.1 and within its limit.
+_UNUSED_FIELDS = frozenset(("base_version", "max_connections", "protocol", "tls"))
 
 
 class _WeightedService(msgspec.Struct, frozen=True):
@@ -62,31 +74,29 @@
     limits: _Limits = _Limits()
 
 
-_decoder = msgspec.json.Decoder(_Configuration)
-
-
 def decode_configuration(content):
     """Return the `RoutingTable` of an encoded configuration.
 
     For a route without ``aim_s``, its ``timeout_s`` is used instead. Weighted services
-    without a positive weight are left out.
+    without a positive weight are left out. Kinds and fields that this release does not
+    know are named in `RoutingTable.unknown`.
 
     Raises
     ------
     InvalidMessage
         When the content is not valid JSON, a field is missing or has a wrong type, or a
-        route has an unknown kind or no service.
+        route has no service.
     """
     try:
-        decoded = _decoder.decode(content)
+        document = msgspec.json.decode(content)
+        decoded = msgspec.convert(document, _Configuration)
     except msgspec.MsgspecError as exc:
         raise InvalidMessage(f"configuration: {exc}") from exc
-    routes = [_route(item) for item in decoded.routes]
     services = {item.name: item.health_path for item in decoded.services}
     limits = decoded.limits
     return RoutingTable(
         decoded.version,
-        routes,
+        [_route(item) for item in decoded.routes],
         services,
         CallerLimits(
             limits.max_header_bytes,
@@ -94,13 +104,33 @@
             limits.header_timeout_s,
             limits.idle_timeout_s,
         ),
+        _find_unknown(document, decoded),
+    )
+
+
+def _find_unknown(document, decoded):
+    """Return texts that name the unknown kinds and fields, without duplicates."""
+    found = dict.fromkeys(
+        f"kind {item.kind!r}" for item in decoded.routes if item.kind not in _KINDS
     )
+    parts = [("", _Configuration, [document])]
+    parts.append(("limits.", _Limits, [document.get("limits", {})]))
+    parts.append(("services[].", _Service, document.get("services", ())))
+    routes = document.get("routes", ())
+    parts.append(("routes[].", _Route, routes))
+    weighted = [part for route in routes for part in route.get("weighted_services", ())]
+    parts.append(("routes[].weighted_services[].", _WeightedService, weighted))
+    for prefix, kind, items in parts:
+        known = _UNUSED_FIELDS.union(kind.__struct_fields__)
+        names = dict.fromkeys(name for item in items for name in item)
+        found |= dict.fromkeys(
+            f"field {prefix}{name}" for name in names if name not in known
+        )
+    return tuple(found)
 
 
 def _route(item):
-    kind = _KINDS.get(item.kind)
-    if kind is None:
-        raise InvalidMessage(f"route {item.name!r}: unknown kind {item.kind!r}")
+    kind = _KINDS.get(item.kind) or UnknownKind(item.kind)
     parts = tuple(
         WeightedService(part.service, part.weight)
         for part in item.weighted_services
@@ -112,12 +142,12 @@
         parts = (WeightedService(item.service, 1.0),)
     return Route(
         item.name,
-        item.host,
+        item.host.lower(),
         item.prefix,
         kind,
         item.timeout_s,
         item.aim_s or item.timeout_s,
         item.priority,
         parts,
-        max(1, item.max_attempts),
+        1 if isinstance(kind, UnknownKind) else max(1, item.max_attempts),
     )
--- a/goldcresthoist/routes/__init__.py
+++ b/goldcresthoist/routes/__init__.py
@@ -2,11 +2,13 @@
 
 from goldcresthoist.routes.model import (
     CallerLimits,
+    Download,
     Idempotent,
     NonIdempotent,
     Route,
     RouteKind,
     RoutingTable,
+    UnknownKind,
     Upload,
     WeightedService,
 )
@@ -14,12 +16,14 @@
 
 __all__ = [
     "CallerLimits",
+    "Download",
     "Idempotent",
     "NonIdempotent",
     "WeightedService",
     "Route",
     "RouteKind",
     "RoutingTable",
+    "UnknownKind",
     "Upload",
     "WeightedRoundRobin",
 ]
