Bound and place large responses

Cause: the choice of upstream knew only the request body, so a pack of 90 kB went to another failure domain or over a thin link as if it cost nothing; a response over 64 KiB that broke off reached the caller as a reset although another upstream could have served it; a slot stayed taken during the transfer; and the memory for responses that slow callers read had no limit for the daemon as a whole.

Change: routes learn the usual size of their responses, members announce the bandwidth of their instance, and the choice charges both. The serving daemon passes responses of stated length up to 1 MiB on when they are whole, and frees the slot then. A budget of a quarter of the instance's memory bounds what both ends hold; a download beyond it is refused at once.

--- a/goldcresthoist/balance/latency_chooser.py
+++ b/goldcresthoist/balance/latency_chooser.py
@@ -11,8 +11,8 @@
 # make all daemons choose the same upstream at the same moment.
 SAMPLE_SIZE = 6
 # Cost of a call to an upstream in the own failure domain, in the rest of the region and
-# in another region: in seconds, and in seconds per byte of the request body. It stands
-# for the longer network path and for the price of traffic between failure domains. A
+# in another region: in seconds, and in seconds per byte of both bodies. It stands for
+# the longer network path and for the price of traffic between failure domains. A
 # farther upstream is normally chosen only when its expected latency is lower by more
 # than the additional cost: a call without a body goes to another failure domain to save
 # more than 40 ms, and to another region to save more than 150 ms.
@@ -43,9 +43,10 @@
 class LatencyChooser(Chooser):
     """Chooses the upstream with the lowest sum of expected latency and network cost.
 
-    Both are in seconds. The network cost depends on the tier of the upstream and on the
-    size of the request (see `TIER_COST_S`). All tiers are compared, so a farther
-    upstream is chosen when the nearer ones are slower by more than the additional cost.
+    Both are in seconds. The network cost depends on the tier of the upstream, the
+    bandwidth between the instances and the size of both bodies (see `TIER_COST_S`). All
+    tiers are compared, so a farther upstream is chosen when the nearer ones are slower
+    by more than the additional cost.
 
     Failing upstreams are not ejected. Failures increase the expected latency instead.
     """
@@ -61,8 +62,8 @@
         Parameters
         ----------
         size : int
-            Size of the request body in bytes. Traffic between failure domains is
-            expensive, so large requests tend to stay in their own.
+            Size of the request body and of the expected response body in bytes. Traffic
+            between failure domains is expensive, so large ones tend to stay in theirs.
         reachable : callable, optional
             ``reachable(view)`` returns whether the serving daemon of the upstream can
             be called. Without it, all of them count as reachable.
@@ -74,7 +75,8 @@
                     continue
                 if reachable is not None and not reachable(view):
                     continue
-                cost = self.expected_latency_s(view, rule, now) + base_s + byte_s * size
+                cost = self.expected_latency_s(view, rule, now) + base_s
+                cost += (byte_s + view.link_s_per_byte) * size
                 cost *= 1.0 + JITTER * self.random()
                 if best is None or cost < best_cost:
                     best, best_cost = view, cost
--- a/goldcresthoist/balance/tests/test_latency_chooser.py
+++ b/goldcresthoist/balance/tests/test_latency_chooser.py
@@ -59,6 +59,17 @@
         self.assertIn("far", self.count())
         self.assertNotIn("far", self.count(size=60_000))
 
+    def test_large_response_avoids_a_thin_link(self):
+        """Guards against a large response that takes longer on the link than its work.
+
+        300 kB take 300 ms at 8 Mbit/s and 3 ms at 800 Mbit/s.
+        """
+        self.chooser.record_load(self.views["near2"], make_report(1.5), 1.0)
+        self.views["near"].link_s_per_byte = 8e-6 / 8
+        self.views["near2"].link_s_per_byte = 8e-6 / 800
+        self.assertEqual(set(self.count()), {"near"})
+        self.assertEqual(set(self.count(size=300_000)), {"near2"})
+
     def test_old_pace_sample_has_little_weight(self):
         """Guards against an instance avoided long after its slow phase."""
         self.chooser.record_load(self.views["near"], make_report(7.0), 1.0)
--- a/goldcresthoist/balance/views.py
+++ b/goldcresthoist/balance/views.py
@@ -65,6 +65,8 @@
         Whether a load report caused or extended the ejection.
     trial_running : bool
         Whether a trial call is in flight. There is at most one at a time.
+    link_s_per_byte : float
+        Seconds for the transfer of one byte between the instances; 0 if unknown.
     trial_any_work_from : float
         Time from which an ejected upstream may get a trial call of any work, including
         work that cannot be repeated.
@@ -84,6 +86,7 @@
         "failure_share",
         "in_flight",
         "instance",
+        "link_s_per_byte",
         "pace",
         "pace_time",
         "pool",
@@ -125,6 +128,7 @@
         self.pace = 0.0
         self.pace_time = now
         self.failure_share = 0.0
+        self.link_s_per_byte = 0.0
         self.pool = None
 
     def __repr__(self):
--- a/goldcresthoist/fleet/messages.py
+++ b/goldcresthoist/fleet/messages.py
@@ -22,6 +22,8 @@
 
     ``born_ms`` is the time at which the daemon started or last changed its service, in
     Unix milliseconds. Of two records with the same address, the later one is valid.
+    ``link_mbit_s`` is the bandwidth of the instance; 0 if the daemon runs an earlier
+    release.
     """
 
     ip: str
@@ -30,6 +32,7 @@
     region: str
     service: str
     born_ms: int
+    link_mbit_s: float = 0.0
 
 
 class VersionReport(msgspec.Struct, frozen=True, array_like=True, tag=1):
--- a/goldcresthoist/node/assembly.py
+++ b/goldcresthoist/node/assembly.py
@@ -23,6 +23,7 @@
 from goldcresthoist.node.services import FleetServices
 from goldcresthoist.node.serving import UpstreamServer
 from goldcresthoist.node.status import NodeStatus
+from goldcresthoist.node.transfers import TransferBudget
 from goldcresthoist.node.upstream_run import make_connection
 from goldcresthoist.platform import StoreClient
 from goldcresthoist.telemetry import Counters, DecisionLog, PlainExposition
@@ -92,6 +93,7 @@
             settings.region,
             settings.service,
             int(time.time() * 1000),
+            settings.link_mbit_s,
         )
         self._build_fleet(key)
         self._build_calls(key)
@@ -122,8 +124,14 @@
             *split_address(settings.upstream_address), make_connection=make_connection
         )
         self.suspects = CrashSuspects()
+        self.transfers = TransferBudget.from_memory(settings.memory_mb)
         self.server = UpstreamServer(
-            self.own, self.pool, self.suspects, self.counters, self.log
+            self.own,
+            self.pool,
+            self.suspects,
+            self.counters,
+            self.log,
+            self.transfers,
         )
         self.links = LinkPool(settings.ip, key, self.counters)
         self.link_server = LinkServer(settings.ip, key, self.server, self.counters)
@@ -137,6 +145,7 @@
             settings.service,
             self.counters,
             self.log,
+            self.transfers,
         )
         self.announcements = AnnouncementServer(
             self.own,
@@ -171,6 +180,7 @@
         self.counters.gauge("members", lambda: len(self.directory.members))
         self.counters.gauge("in_flight", lambda: self.server.queue.running)
         self.counters.gauge("queued", lambda: len(self.server.queue.waiting))
+        self.counters.gauge("transfer_bytes", lambda: self.transfers.used)
         self.counters.gauge("configuration_version", lambda: self.watch.version)
         self.counters.gauge("configuration_unknown", self._count_unknown)
         self.counters.count_from("log_lines_dropped", lambda: self.log.dropped)
--- a/goldcresthoist/node/entry.py
+++ b/goldcresthoist/node/entry.py
@@ -31,7 +31,7 @@
         Takes the calls that are sent to the local upstream.
     caller_service : str
         Service on this instance. It is sent to upstreams as the service of the caller.
-    counters, log
+    counters, log, transfers
         See `UpstreamServer`.
 
     Attributes
@@ -42,13 +42,16 @@
         Recognizes requests that callers repeat.
     """
 
-    def __init__(self, services, watch, server, caller_service, counters, log):
+    def __init__(
+        self, services, watch, server, caller_service, counters, log, transfers
+    ):
         self.services = services
         self.watch = watch
         self.server = server
         self.caller_service = caller_service.encode()
         self.counters = counters
         self.log = log
+        self.transfers = transfers
         self.loop = asyncio.get_running_loop()
         self.client_retries = ClientRetries()
         self.in_progress = 0
--- a/goldcresthoist/node/request.py
+++ b/goldcresthoist/node/request.py
@@ -9,8 +9,10 @@
 from goldcresthoist.daemon.attempt import Attempt
 from goldcresthoist.daemon.relay import relay_response
 from goldcresthoist.daemon.request_matching import fingerprint
+from goldcresthoist.http_fields import header_value
 from goldcresthoist.links import LinkClosed
 from goldcresthoist.links.frames import Failed, FailureKind, Head, Open, Refuse
+from goldcresthoist.node.transfers import CALL_BYTES
 from goldcresthoist.platform.fields import upstream_headers
 
 __all__ = ["EntryRequest"]
@@ -102,6 +104,10 @@
     retry_after_s : float
         Longest Retry-After, in seconds, of the serving daemons that refused the
         request.
+    reserved_bytes : int
+        Bytes that are reserved in the `TransferBudget` for the responses.
+    transfer_denied : bool
+        Whether an offer was not made because this budget was used up.
     outcome : str
         Value of the ``outcome`` label in the metrics and in the log.
     exclude : list of UpstreamView
@@ -131,6 +137,7 @@
         "outcome",
         "prefix",
         "request",
+        "reserved_bytes",
         "retry_after_s",
         "route",
         "router",
@@ -138,6 +145,7 @@
         "service",
         "state",
         "target",
+        "transfer_denied",
         "unanswered",
         "upstream_attempts",
         "version",
@@ -175,6 +183,8 @@
         self.is_last_offer = False
         self.upstream_attempts = 0
         self.retry_after_s = 0.0
+        self.reserved_bytes = 0
+        self.transfer_denied = False
         self.outcome = "abandoned"
         self.decisions = []
 
@@ -277,7 +287,8 @@
         self.entry.refuse(exchange, status, error.code, self.fields.request_id)
 
     def finish(self):
-        """Record the metrics of the request and write its log line."""
+        """Release the memory, record the metrics and write the log line."""
+        self.entry.transfers.give_back(self.reserved_bytes)
         now = monotonic()
         status = self.exchange.status if self.exchange.started else 0
         if self.fingerprint and not 200 <= status < 300:
@@ -339,7 +350,10 @@
         Attempt or None
             None when no upstream is left or `MAX_OFFERS` is reached.
         """
+        if not self._reserve_transfer():
+            return None
         size = max(self.request.content_length or 0, len(self.prefix))
+        size += self.state.response_bytes
         while self.offers < MAX_OFFERS or hedge:
             now = monotonic()
             choice = self.entry.services.choose(
@@ -361,6 +375,17 @@
             return attempt
         return None
 
+    def _reserve_transfer(self):
+        """Reserve memory for the response of one more offer, if it will be large."""
+        if not self.state.route.large_responses:
+            return True
+        if not self.entry.transfers.try_take(CALL_BYTES):
+            self.transfer_denied = True
+            self.decisions.append({"offer": "denied", "reason": "transfer-memory"})
+            return False
+        self.reserved_bytes += CALL_BYTES
+        return True
+
     def _offer_next(self):
         """Offer the request to another upstream, finally once more to the best one.
 
@@ -495,6 +520,9 @@
     def _record_unsuccessful(self, attempt, outcome):
         """Record an outcome that is not final, and end its attempt."""
         self.unanswered.discard(attempt)
+        if self.reserved_bytes:
+            self.reserved_bytes -= CALL_BYTES
+            self.entry.transfers.give_back(CALL_BYTES)
         self.decisions.append(
             {
                 "from": attempt.view.instance,
@@ -534,6 +562,9 @@
         match outcome:
             case Head():
                 self.outcome = "answered" if _is_final(outcome) else "upstream-error"
+                length = header_value(outcome.headers, b"content-length")
+                if length is not None and outcome.status == 200:
+                    self.state.record_response_size(int(length))
                 await relay_response(self, attempt, outcome)
             case Failed(kind=FailureKind.TIMED_OUT):
                 self.outcome = "timed-out"
@@ -549,6 +580,11 @@
                 self.entry.refuse(
                     self.exchange, 503, code, request_id, self._retry_after_s()
                 )
+            case None if self.transfer_denied:
+                self.outcome = "refused"
+                self.entry.refuse(
+                    self.exchange, 503, "saturated", request_id, self._retry_after_s()
+                )
             case None:
                 self.outcome = "no-upstream"
                 self.entry.refuse(
--- a/goldcresthoist/node/services.py
+++ b/goldcresthoist/node/services.py
@@ -21,6 +21,9 @@
 # Samples are capped at this multiple of the usual time, so that a single outlier
 # changes the average little.
 MAX_SAMPLE_RATIO = 3.0
+# Size of the response body that is assumed before the first response of a route with
+# large responses.
+INITIAL_LARGE_RESPONSE_BYTES = 64 * 1024
 
 
 class ServiceState:
@@ -35,7 +38,8 @@
 class RouteState:
     """Usual time of one route and the weighted choice of its service.
 
-    The usual time is the moving average of the latency of the route's responses.
+    The usual time is the moving average of the latency of the route's responses, and
+    so is the usual size of their bodies.
 
     Parameters
     ----------
@@ -47,12 +51,17 @@
         Carries the usual time to the chooser.
     service_selector : WeightedRoundRobin
         Distributes the requests among the services of the route.
+    response_bytes : float
+        Usual size of the response body.
     """
 
     def __init__(self, route):
         self.route = route
         self.service_selector = WeightedRoundRobin(route.weighted_services)
         self.rule = self._rule(INITIAL_USUAL_SHARE * route.aim_s)
+        self.response_bytes = 0.0
+        if route.large_responses:
+            self.response_bytes = float(INITIAL_LARGE_RESPONSE_BYTES)
 
     def record(self, rule, latency_s):
         """Include the latency of a response, in seconds, in the usual time.
@@ -65,12 +74,17 @@
         usual_s += EWMA_WEIGHT * (sample - usual_s)
         self.rule = self._rule(usual_s)
 
+    def record_response_size(self, size):
+        """Include the size of a response body, in bytes, in the usual size."""
+        self.response_bytes += EWMA_WEIGHT * (size - self.response_bytes)
+
     def inherit(self, earlier):
         """Copy the state of the same route in the previous configuration.
 
         The position of the weighted round robin is kept only if the weights are equal.
         """
         self.rule = self._rule(earlier.rule.usual_s)
+        self.response_bytes = earlier.response_bytes
         if earlier.route.weighted_services == self.route.weighted_services:
             self.service_selector = earlier.service_selector
 
@@ -143,6 +157,7 @@
         view = UpstreamView(record.ip, record.failure_domain, record.region, now)
         # The upstream gets no calls until its serving daemon has sent a load report.
         view.draining = record.ip != self.own.ip
+        view.link_s_per_byte = _link_s_per_byte(self.own, record)
         self.views[record.ip] = (record.service, view)
         self.service(record.service).pool.add(view)
         self.daemons = len(self.views)
@@ -195,7 +210,7 @@
         exclude : list of UpstreamView
             Upstreams that must not be chosen.
         size : int
-            Bytes of the request body.
+            Bytes of the request body and of the expected response body.
 
         Returns
         -------
@@ -237,6 +252,17 @@
         return record_report
 
 
+def _link_s_per_byte(own, other):
+    """Return the time to transfer one byte between two instances, in seconds.
+
+    It is 0 for the own instance and when a bandwidth is not known.
+    """
+    mbit_s = min(own.link_mbit_s, other.link_mbit_s)
+    if own.ip == other.ip or mbit_s <= 0.0:
+        return 0.0
+    return 8e-6 / mbit_s
+
+
 class _LinkTarget:
     """Instance and link address of a member, in the form that `LinkPool` uses."""
 
--- a/goldcresthoist/node/serving.py
+++ b/goldcresthoist/node/serving.py
@@ -48,6 +48,8 @@
         Has ``add(name, amount=1, **labels)``.
     log
         Has ``event(name, **fields)``.
+    transfers : TransferBudget
+        Memory for responses that are buffered completely.
 
     Attributes
     ----------
@@ -62,13 +64,14 @@
         Calls that hold a slot and are being executed.
     """
 
-    def __init__(self, own, pool, suspects, counters, log):
+    def __init__(self, own, pool, suspects, counters, log, transfers):
         self.own = own
         self.pool = pool
         pool.on_change = self._on_pool_change
         self.suspects = suspects
         self.counters = counters
         self.log = log
+        self.transfers = transfers
         self.queue = SlotQueue()
         self.queue.on_knee_verdict = self._on_local_knee_verdict
         self.probe = PaceProbe(self, counters, log)
--- a/goldcresthoist/node/tests/builders.py
+++ b/goldcresthoist/node/tests/builders.py
@@ -35,9 +35,9 @@
         self.peers[instance](load)
 
 
-def make_record(ip, service, born_ms=1, domain="a"):
+def make_record(ip, service, born_ms=1, domain="a", link_mbit_s=0.0):
     """Return the `MemberRecord` of a daemon."""
-    return MemberRecord(ip, f"node-{ip}", domain, "r", service, born_ms)
+    return MemberRecord(ip, f"node-{ip}", domain, "r", service, born_ms, link_mbit_s)
 
 
 def make_announcement(identity="i-1", sequence=1, **values):
--- a/goldcresthoist/node/tests/site.py
+++ b/goldcresthoist/node/tests/site.py
@@ -77,6 +77,7 @@
         route("read", "/read/", "idempotent", "listen"),
         route("write", "/write/", "non_idempotent", "ledger"),
         route("upload", "/upload/", "upload", "ledger"),
+        route("pack", "/pack/", "download", "listen"),
     ]
     services = [
         {"name": name, "health_path": "/health"} for name in ("listen", "ledger")
--- a/goldcresthoist/node/tests/test_pace_probe.py
+++ b/goldcresthoist/node/tests/test_pace_probe.py
@@ -9,6 +9,7 @@
 from goldcresthoist.fleet.tests.builders import FakeCounters, FakeLog
 from goldcresthoist.node.own_upstream import LocalUpstream
 from goldcresthoist.node.serving import UpstreamServer
+from goldcresthoist.node.transfers import TransferBudget
 from goldcresthoist.node.upstream_run import make_connection
 from goldcresthoist.tests.standins.platform_target import PlatformTarget
 from goldcresthoist.upstreams import ConnectionPool
@@ -27,7 +28,7 @@
         own = LocalUpstream(address, "ledger")
         self.log = FakeLog()
         self.server = UpstreamServer(
-            own, self.pool, CrashSuspects(), FakeCounters(), self.log
+            own, self.pool, CrashSuspects(), FakeCounters(), self.log, TransferBudget(0)
         )
         self.probe = self.server.probe
         self.probe.health_path = lambda: "/health"
--- a/goldcresthoist/node/tests/test_request.py
+++ b/goldcresthoist/node/tests/test_request.py
@@ -25,7 +25,9 @@
     """Return an `EntryRequest` that waits for its first response."""
     request = object.__new__(EntryRequest)
     request.entry = SimpleNamespace(services=FakeServices(), counters=FakeCounters())
-    request.state = SimpleNamespace(route=SimpleNamespace(max_attempts=3))
+    request.state = SimpleNamespace(
+        route=SimpleNamespace(max_attempts=3, large_responses=False), response_bytes=0
+    )
     request.service = SimpleNamespace(
         name="listen", budget=SharedRetryBudget(0.2, 58.0)
     )
--- a/goldcresthoist/node/tests/test_services.py
+++ b/goldcresthoist/node/tests/test_services.py
@@ -5,8 +5,12 @@
 from goldcresthoist.links.frames import LoadReport
 from goldcresthoist.node.services import FleetServices
 from goldcresthoist.node.tests.builders import FakeLinks, make_record
-from goldcresthoist.platform import Bounds
+from goldcresthoist.platform import Bounds, decode_configuration
 
+CONFIGURATION = (
+    b'{"version":1,"routes":[{"name":"pack","host":"h","prefix":"/","kind":"download",'
+    b'"timeout_s":2,"service":"listen"}]}'
+)
 READY = LoadReport(0, 0, 12, 100.0, draining=False, pace=1.0)
 
 
@@ -41,6 +45,29 @@
         self.links.report("10.0.0.2", READY)
         self.assertFalse(self.services.views["10.0.0.2"][1].draining)
 
+    def test_bandwidth_between_instances_is_that_of_the_thinner_link(self):
+        """Guards against large responses that are sent over a thin link.
+
+        A daemon of an earlier release does not announce its bandwidth.
+        """
+        own = make_record("10.0.0.1", "ledger", link_mbit_s=100.0)
+        services = FleetServices(own, self.links, None, Bounds(), 7600)
+        for number, mbit_s in ((2, 8.0), (3, 1000.0), (4, 0.0)):
+            record = make_record(f"10.0.0.{number}", "listen", link_mbit_s=mbit_s)
+            services.add_member(record)
+        found = [view.link_s_per_byte for _, view in services.views.values()]
+        self.assertEqual(found, [0.0, 1e-6, 8e-8, 0.0])
+
+    def test_usual_size_of_responses_is_learned(self):
+        """Guards against a choice of upstream that ignores what the response costs."""
+        route = decode_configuration(CONFIGURATION).routes[0]
+        state = self.services.route(route)
+        before = state.response_bytes
+        self.assertGreater(before, 0)
+        for _ in range(200):
+            state.record_response_size(500_000)
+        self.assertAlmostEqual(state.response_bytes, 500_000, delta=5_000)
+
     def test_new_member_gets_no_calls_before_its_first_report(self):
         """Guards against calls to a daemon whose local upstream may not be ready."""
         self.services.add_member(make_record("10.0.0.2", "listen"))
--- a/goldcresthoist/node/tests/test_serving.py
+++ b/goldcresthoist/node/tests/test_serving.py
@@ -8,6 +8,7 @@
 from goldcresthoist.node.own_upstream import LocalUpstream
 from goldcresthoist.node.serving import UpstreamServer
 from goldcresthoist.node.tests.builders import make_announcement
+from goldcresthoist.node.transfers import TransferBudget
 
 
 class FakePool:
@@ -53,7 +54,12 @@
         self.own = LocalUpstream("10.0.0.1:8000", "ledger")
         self.pool = FakePool()
         self.server = UpstreamServer(
-            self.own, self.pool, CrashSuspects(), FakeCounters(), FakeLog()
+            self.own,
+            self.pool,
+            CrashSuspects(),
+            FakeCounters(),
+            FakeLog(),
+            TransferBudget(0),
         )
         self.own.apply_announcement(make_announcement(), 0.0)
         self.server.upstream_changed(True)
@@ -122,7 +128,12 @@
             self.server.queue.on_knee_verdict(True)
         self.assertEqual(reported, [(True, False), (True, False), (True, True)])
         other = UpstreamServer(
-            self.own, FakePool(), CrashSuspects(), FakeCounters(), FakeLog()
+            self.own,
+            FakePool(),
+            CrashSuspects(),
+            FakeCounters(),
+            FakeLog(),
+            TransferBudget(0),
         )
         other.restore_knee()
         self.assertTrue(other.queue.knee.confirmed)
--- a/goldcresthoist/node/upstream_run.py
+++ b/goldcresthoist/node/upstream_run.py
@@ -31,9 +31,11 @@
     "mark_idle",
 ]
 
-# A response of up to this many bytes is buffered and relayed only when complete, so
-# that the entry daemon can still retry at another upstream if the response breaks off.
+# A response of up to the first size is buffered and relayed only when complete, so that
+# the entry daemon can still retry at another upstream if the response breaks off. So is
+# one whose length is stated and at most the second size, if there is memory for it.
 MAX_BUFFERED_ANSWER_BYTES = 64 * 1024
+MAX_WHOLE_ANSWER_BYTES = 1024 * 1024
 # After the upstream has responded with 503 or 429 while all slots were in use, or
 # without its load, no call is started for this long while others run.
 OVERLOAD_PAUSE_S = 0.03
@@ -102,11 +104,15 @@
     __slots__ = (
         "call",
         "connection",
+        "ended",
         "future",
+        "pace_at_start",
         "request_id",
+        "running_at_start",
         "sender",
         "server",
         "slot_call",
+        "started_at",
     )
 
     def __init__(self, server, call, slot_call, future):
@@ -117,6 +123,8 @@
         self.request_id = parse_request_fields(call.open.headers).request_id
         self.connection = None
         self.sender = None
+        # Whether the call has released its slot and its connection.
+        self.ended = False
 
     async def wait_for_slot(self):
         """Wait for a slot.
@@ -147,9 +155,9 @@
         """
         server = self.server
         server.running.add(self)
-        started = monotonic()
-        pace_at_start = server.queue.pace.expected(started)
-        running = server.queue.running
+        self.started_at = started = monotonic()
+        self.pace_at_start = server.queue.pace.expected(started)
+        self.running_at_start = server.queue.running
         succeeded = False
         try:
             async with deadline_at(self.slot_call.deadline):
@@ -165,13 +173,25 @@
             server.report_internal_error(self.call, exc)
         finally:
             server.running.discard(self)
-            now = monotonic()
-            if succeeded:
-                server.queue.record(
-                    self.slot_call.work, now - started, pace_at_start, running, now
-                )
-            self._release_connection()
-            server.queue.release(now)
+            self._end(succeeded)
+
+    def _end(self, succeeded):
+        """Release the slot and the connection; only the first call has an effect."""
+        if self.ended:
+            return
+        self.ended = True
+        queue = self.server.queue
+        now = monotonic()
+        if succeeded:
+            queue.record(
+                self.slot_call.work,
+                now - self.started_at,
+                self.pace_at_start,
+                self.running_at_start,
+                now,
+            )
+        self._release_connection()
+        queue.release(now)
 
     async def _forward(self):
         """Forward the call; return whether the status of the response is 2xx."""
@@ -245,7 +265,8 @@
     async def _relay_answer(self, answer, fields):
         """Relay the response to the entry daemon.
 
-        A response of up to `MAX_BUFFERED_ANSWER_BYTES` is relayed only if complete.
+        A response of up to `MAX_BUFFERED_ANSWER_BYTES`, or `MAX_WHOLE_ANSWER_BYTES`
+        while there is memory, is relayed only if complete.
 
         Returns
         -------
@@ -260,8 +281,6 @@
         LinkError
             When the link to the entry daemon closes.
         """
-        call = self.call
-        body = answer.body
         is_success = 200 <= answer.status < 300
         server = self.server
         if is_success or answer.status >= 500:
@@ -270,7 +289,26 @@
             # Upstreams sign their responses with a seal and use no content encoding, so
             # this response comes from another source or was altered.
             raise UpstreamBroken("the answer is unsealed or has a content encoding")
-        data = await self._read_first_bytes(body)
+        length = _stated_length(answer.headers)
+        limit = MAX_BUFFERED_ANSWER_BYTES
+        reserved = 0
+        if limit < length <= MAX_WHOLE_ANSWER_BYTES:
+            if server.transfers.try_take(length):
+                limit = reserved = length
+        try:
+            return await self._relay_body(answer, is_success, limit)
+        finally:
+            server.transfers.give_back(reserved)
+
+    async def _relay_body(self, answer, is_success, limit):
+        """Relay a response after the first ``limit`` bytes of its body have arrived.
+
+        The slot is released as soon as the body is complete: the upstream is done then,
+        while the rest of the transfer may take long on a thin link.
+        """
+        call = self.call
+        body = answer.body
+        data = await self._read_first_bytes(body, limit)
         ended = body.exhausted
         if ended:
             mark_idle(self.connection, answer.headers)
@@ -282,6 +320,8 @@
         if call.done:
             return is_success
         call.reply(answer.status, headers, load, first, ended and not rest)
+        if ended and rest:
+            self._end(is_success)
         if rest:
             await call.send_body(rest, ended)
         while not ended:
@@ -290,10 +330,11 @@
             await call.send_body(data, ended)
         return is_success
 
-    async def _read_first_bytes(self, body):
+    async def _read_first_bytes(self, body, limit):
+        """Return the body, or at least its first ``limit`` bytes if it is longer."""
         parts = []
         size = 0
-        while size < MAX_BUFFERED_ANSWER_BYTES:
+        while size < limit:
             data = await body.read()
             if not data:
                 break
@@ -339,5 +380,11 @@
             self.server.pool.release(self.connection)
 
 
+def _stated_length(headers):
+    """Return the length of the body that the headers state, or 0."""
+    value = header_value(headers, b"content-length")
+    return int(value) if value is not None and value.isdigit() else 0
+
+
 def _decode_id(request_id):
     return request_id.decode("latin-1") if request_id else None
--- a/goldcresthoist/platform/settings.py
+++ b/goldcresthoist/platform/settings.py
@@ -62,6 +62,7 @@
     gossip_port: int
     store_address: str
     link_mbit_s: float
+    memory_mb: float
     bounds: Bounds
 
     @classmethod
@@ -130,6 +131,7 @@
             gossip_port=first + 1,
             store_address=read.address("platform.platform.address"),
             link_mbit_s=read.number("self.limits.link_mbps", 1000.0),
+            memory_mb=read.number("self.limits.memory_mb", 200.0),
             bounds=bounds,
         )
 
--- a/goldcresthoist/telemetry/_catalogue.py
+++ b/goldcresthoist/telemetry/_catalogue.py
@@ -87,6 +87,7 @@
     "datagrams_undelivered": "Datagrams that the network reported as undelivered.",
     "log_lines_dropped": "Log lines lost to the limit on their rate.",
     "configuration_version": "Version of the configuration in force, -1 for none.",
+    "transfer_bytes": "Memory reserved for large responses, in bytes.",
     "configurations_malformed": "Malformed configurations that were ignored.",
     "configuration_unknown": "Kinds and fields of the configuration not understood.",
     "pace_probes": "Questions to the own upstream for its pace, by outcome.",
--- a/goldcresthoist/tests/standins/platform_target.py
+++ b/goldcresthoist/tests/standins/platform_target.py
@@ -1,8 +1,9 @@
 """Stand-in for an upstream on the users' platform.
 
 It processes a request for the milliseconds given by ``ms`` in the query, signs the
-response, reports its load and records each execution in `PlatformTarget.runs`, so that
-a test can compare the responses to callers with what was executed. ``fault`` in the
+response (longer by ``size`` bytes), reports its load and records each execution in
+`PlatformTarget.runs`, so that a test can compare the responses to callers with what was
+executed. ``fault`` in the
 query selects a fault: ``status`` (status 500), ``close`` (no response after the
 execution), ``truncate``, ``extra`` (a second response), ``unframed`` (no length),
 ``shed`` (status 503 without execution), ``unsealed`` (no signature) or one of
@@ -69,6 +70,8 @@
         # Processing time in percent of the usual time, as reported in Server-Load.
         self.pace = 100
         self.health_hangs = False
+        # Number of further responses that break off.
+        self.breaks = 0
         # Number of health checks received.
         self.probes = 0
         # (request id, monotonic time, target, body) of every execution.
@@ -219,6 +222,7 @@
             await self._send_without_end(fault, request_id)
             return
         body = b"%b of %b" % (target.identity.encode(), request_id.encode())
+        body += bytes(int(query.get("size", 0)))
         self._answer(fault, request_id, body)
 
     async def _send_without_end(self, fault, request_id):
@@ -233,6 +237,9 @@
             await asyncio.sleep(0.001)
 
     def _answer(self, fault, request_id, body):
+        if self.target.breaks:
+            self.target.breaks -= 1
+            fault = "truncate"
         seal = response_seal(self.target.identity, request_id, body)
         headers = [] if fault == "unsealed" else [("Response-Seal", seal)]
         if fault == "close":
