Derive bounds from what is in force instead of the first sites

- The reserve of the retry budget that hedges leave was one token. 78 daemons hold 1.76 tokens each and 195 hold 1.54, so no daemon of a grown or large fleet could hedge at all.
It is now at most half of what a bucket holds beyond one token.
- First attempts were remembered for 4 s after a third of the first sites' deadlines; they are kept until the caller's deadline.
- The pace in slow phases was taken to be 7; it is learned from the samples.

--- a/goldcresthoist/balance/client_retries.py
+++ b/goldcresthoist/balance/client_retries.py
@@ -4,9 +4,6 @@
 
 __all__ = ["ClientRetries"]
 
-# Time for which an entry is kept. Callers retry within a third of their remaining time,
-# and the longest deadline on the sites is 7.5 s.
-RETENTION_S = 4.0
 # Number of entries beyond which the oldest is removed. It bounds memory when very many
 # requests are refused.
 MAX_ENTRIES = 4096
@@ -23,9 +20,8 @@
     Attributes
     ----------
     entries : OrderedDict
-        For each fingerprint, the time of the first attempt and the time at which the
-        last attempt ended, in monotonic seconds. The entry whose last attempt ended
-        first comes first.
+        For each fingerprint, the time of the first attempt and the caller's deadline,
+        in monotonic seconds. The entry whose last attempt ended first comes first.
     """
 
     def __init__(self):
@@ -44,21 +40,22 @@
             Monotonic seconds.
         """
         entry = self.entries.pop(fingerprint, None)
-        if entry is None or now - entry[1] > RETENTION_S:
+        if entry is None or now > entry[1]:
             return now
         return entry[0]
 
-    def record(self, fingerprint, first, now):
-        """Record that an attempt of a request ended without success.
+    def record(self, fingerprint, first, deadline):
+        """Record that an attempt of a request ended without success now.
 
         Parameters
         ----------
         fingerprint : bytes
             Digest of the method, target and body.
-        first, now : float
-            Start of the first attempt and end of this one, in monotonic seconds.
+        first, deadline : float
+            Start of the first attempt, and the time until which the caller waits and
+            may retry, in monotonic seconds.
         """
         self.entries.pop(fingerprint, None)
-        self.entries[fingerprint] = (first, now)
+        self.entries[fingerprint] = (first, deadline)
         while len(self.entries) > MAX_ENTRIES:
             self.entries.popitem(last=False)
--- a/goldcresthoist/balance/pace.py
+++ b/goldcresthoist/balance/pace.py
@@ -14,6 +14,10 @@
 INITIAL_MEAN_PACE = 2.5
 # Weight of one sample in the long-run mean.
 MEAN_WEIGHT = 0.02
+# Mean pace in slow phases that is assumed without samples, and the weight of one sample
+# in it.
+INITIAL_SLOW_PACE = 7.0
+SLOW_PACE_WEIGHT = 0.1
 # Samples are capped at this value.
 MAX_PACE = 100.0
 # A pace of at least this value marks a slow phase. It is above the pace of an upstream
@@ -51,6 +55,8 @@
         Last sample, and the monotonic time at which it was recorded.
     mean : float
         Moving average of the samples.
+    slow_mean : float
+        Moving average of the samples in slow phases.
     known : bool
         Whether there is any sample.
     last_abnormal_at : float
@@ -59,12 +65,21 @@
         Time of the first sample of the current slow phase; None outside slow phases.
     """
 
-    __slots__ = ("known", "last_abnormal_at", "mean", "pace", "pace_time", "slow_since")
+    __slots__ = (
+        "known",
+        "last_abnormal_at",
+        "mean",
+        "pace",
+        "pace_time",
+        "slow_mean",
+        "slow_since",
+    )
 
     def __init__(self):
         self.pace = 0.0
         self.pace_time = 0.0
         self.mean = INITIAL_MEAN_PACE
+        self.slow_mean = INITIAL_SLOW_PACE
         self.known = False
         self.last_abnormal_at = float("-inf")
         self.slow_since = None
@@ -83,8 +98,10 @@
             self.last_abnormal_at = now
         if pace < SLOW_PACE:
             self.slow_since = None
-        elif self.slow_since is None:
-            self.slow_since = now
+        else:
+            self.slow_mean += SLOW_PACE_WEIGHT * (pace - self.slow_mean)
+            if self.slow_since is None:
+                self.slow_since = now
         self.mean += MEAN_WEIGHT * (pace - self.mean)
 
     def expected(self, now):
--- a/goldcresthoist/balance/shared_budget.py
+++ b/goldcresthoist/balance/shared_budget.py
@@ -7,6 +7,10 @@
 # does not see them.
 USED_SHARE = 0.55
 USED_RESERVE = 0.7
+# Tokens that hedges leave for retries of failed requests, but at most this share of
+# what the bucket can hold beyond one token. In a large fleet, it holds less than two.
+HEDGE_RESERVE = 1.0
+HEDGE_RESERVE_SHARE = 0.5
 
 
 class SharedRetryBudget:
@@ -50,14 +54,16 @@
         """Return the number of tokens in the bucket."""
         return self.capacity if self.tokens is None else self.tokens
 
-    def try_take(self, min_remaining=0.0):
-        """Take one token unless fewer than ``min_remaining`` would be left.
+    def try_take(self):
+        """Take one token for a retry; return whether there was one."""
+        return self._try_take(0.0)
 
-        Returns
-        -------
-        bool
-            Whether a token was taken.
-        """
+    def try_take_for_hedge(self):
+        """Take one token for a hedge; return whether enough are left for retries."""
+        spare = self.capacity - 1.0
+        return self._try_take(min(HEDGE_RESERVE, HEDGE_RESERVE_SHARE * spare))
+
+    def _try_take(self, min_remaining):
         tokens = self.available()
         if tokens - 1.0 < min_remaining:
             return False
--- a/goldcresthoist/balance/slots.py
+++ b/goldcresthoist/balance/slots.py
@@ -1,7 +1,8 @@
 """Concurrency slots of the local upstream and the priority queue in front of them.
 
 The pace of an upstream is the ratio of the current to the usual processing time of its
-work. The instance of an upstream has slow phases, in which the pace rises to about 7.
+work. The instance of an upstream has slow phases, in which the pace is several times
+higher.
 """
 
 import asyncio
@@ -56,16 +57,14 @@
 # Lower bound of the retry-after time of refusals.
 MIN_RETRY_AFTER_S = 0.05
 # A call keeps the pace at which it starts, so work that would lose much time in a slow
-# phase (see `SLOW_PHASE_PACE`) starts only on a pace sample of at most this age. Slow
-# phases begin about every 1.5 s: of the calls that start on a normal sample of this
-# age, 4 in 100 run in a slow phase and get a late response.
+# phase (see `PaceEstimator.slow_mean`) starts only on a pace sample of at most this
+# age. If slow phases begin every 1.5 s, 4 in 100 calls that start on a normal sample of
+# this age run in a slow phase and get a late response.
 PACE_MAX_AGE_S = 0.06
 # Mean remaining time of a slow phase. A call waits for the end of the phase when it
-# would lose more than this by starting at once.
+# would lose more than this by starting at once, and work that would lose less starts
+# without a fresh pace sample.
 MEAN_SLOW_REMAINDER_S = 0.4
-# Typical pace in a slow phase (7 on both sites). Work that would lose less than
-# `MEAN_SLOW_REMAINDER_S` at this pace starts without a fresh pace sample.
-SLOW_PHASE_PACE = 7.0
 # Slow phases end within this time. An upstream that is slow for longer is slow
 # permanently, so calls no longer wait for it to recover.
 MAX_SLOW_PHASE_S = 1.5
@@ -413,7 +412,7 @@
             and usual_s * (estimator.pace - 1.0) > MEAN_SLOW_REMAINDER_S
         ):
             return _StartDecision.REFRESH_PACE if stale else _StartDecision.WAIT
-        if stale and usual_s * (SLOW_PHASE_PACE - 1.0) > MEAN_SLOW_REMAINDER_S:
+        if stale and usual_s * (estimator.slow_mean - 1.0) > MEAN_SLOW_REMAINDER_S:
             return _StartDecision.REFRESH_PACE
         return _StartDecision.START
 
--- a/goldcresthoist/balance/tests/test_client_retries.py
+++ b/goldcresthoist/balance/tests/test_client_retries.py
@@ -3,7 +3,7 @@
 import unittest
 
 from goldcresthoist.balance import ClientRetries
-from goldcresthoist.balance.client_retries import MAX_ENTRIES, RETENTION_S
+from goldcresthoist.balance.client_retries import MAX_ENTRIES
 
 
 class ClientRetriesTest(unittest.TestCase):
@@ -19,27 +19,36 @@
         attempt.
         """
         self.assertEqual(self.client_retries.pop_first_attempt(b"read", 1.0), 1.0)
-        self.client_retries.record(b"read", 1.0, 1.1)
+        self.client_retries.record(b"read", 1.0, 3.5)
         self.assertEqual(self.client_retries.pop_first_attempt(b"read", 1.5), 1.0)
-        self.client_retries.record(b"read", 1.0, 1.6)
+        self.client_retries.record(b"read", 1.0, 3.5)
         self.assertEqual(self.client_retries.pop_first_attempt(b"read", 2.5), 1.0)
 
     def test_each_entry_is_used_for_one_retry(self):
         """Guards against mistaking all later requests to one target for retries."""
-        self.client_retries.record(b"read", 1.0, 1.1)
+        self.client_retries.record(b"read", 1.0, 3.5)
         self.client_retries.pop_first_attempt(b"read", 1.5)
         self.assertEqual(self.client_retries.pop_first_attempt(b"read", 1.6), 1.6)
 
     def test_old_entries_expire(self):
         """Guards against mistaking a new request for a retry of an old one."""
-        self.client_retries.record(b"read", 1.0, 1.1)
-        now = 1.2 + RETENTION_S
+        self.client_retries.record(b"read", 1.0, 3.5)
+        now = 3.6
         self.assertEqual(self.client_retries.pop_first_attempt(b"read", now), now)
 
+    def test_retry_of_a_patient_caller_is_recognized(self):
+        """Guards against a bound that holds for the deadlines of some sites only.
+
+        Callers of large/tobar-mesh-large wait up to 15.8 s, and a third of that before
+        a retry.
+        """
+        self.client_retries.record(b"read", 1.0, 16.8)
+        self.assertEqual(self.client_retries.pop_first_attempt(b"read", 6.3), 1.0)
+
     def test_memory_is_bounded(self):
         """Guards against unbounded memory use when very many requests are refused."""
         for number in range(MAX_ENTRIES + 10):
-            self.client_retries.record(number.to_bytes(4), 1.0, 1.0)
+            self.client_retries.record(number.to_bytes(4), 1.0, 3.0)
         self.assertEqual(len(self.client_retries.entries), MAX_ENTRIES)
         self.assertEqual(
             self.client_retries.pop_first_attempt((0).to_bytes(4), 2.0), 2.0
--- a/goldcresthoist/balance/tests/test_latency_chooser.py
+++ b/goldcresthoist/balance/tests/test_latency_chooser.py
@@ -159,7 +159,22 @@
 
     def test_hedges_leave_tokens_for_failures(self):
         """Guards against hedges that use up the tokens needed for retries."""
-        budget = SharedRetryBudget(0.2, 3)
-        self.assertTrue(budget.try_take(min_remaining=1.0))
-        self.assertFalse(budget.try_take(min_remaining=1.0))
+        budget = SharedRetryBudget(0.2, 4.4)
+        self.assertTrue(budget.try_take_for_hedge())
+        self.assertTrue(budget.try_take_for_hedge())
+        self.assertFalse(budget.try_take_for_hedge())
+        self.assertTrue(budget.try_take())
+
+    def test_daemons_of_a_large_fleet_can_hedge(self):
+        """Guards against a reserve for failures that no bucket of a large fleet holds.
+
+        On large/tobar-mesh-large, 195 daemons share a reserve of 430: each bucket holds
+        1.54 tokens, and hedges needed 2.
+        """
+        budget = SharedRetryBudget(0.2, 430)
+        budget.set_daemon_count(195)
+        self.assertTrue(budget.try_take_for_hedge())
+        self.assertFalse(budget.try_take_for_hedge())
+        for _ in range(7):
+            budget.record_request()
         self.assertTrue(budget.try_take())
--- a/goldcresthoist/balance/tests/test_slots.py
+++ b/goldcresthoist/balance/tests/test_slots.py
@@ -239,6 +239,22 @@
         self.assertIsNone(queue.admit(make_call(now=0.05), 0.05))
         self.assertEqual(pace_requests, [])
 
+    async def test_mild_slow_phases_need_no_fresh_sample(self):
+        """Guards against a priced probe for each call on a site with mild slow phases.
+
+        Work of 100 ms loses 600 ms in a slow phase of pace 7, and 300 ms at pace 4.
+        """
+        queue = SlotQueue(4)
+        queue.request_pace = lambda: None
+        call = make_call("new", 9.0, soft_deadline=9.34)
+        queue.pace.record(1.0, 8.0)
+        self.assertIsNotNone(queue.admit(call, 9.0))
+        queue.abandon(queue.waiting[0].future)
+        for _ in range(50):
+            queue.pace.record(4.0, 8.0)
+        queue.pace.record(1.0, 8.5)
+        self.assertIsNone(queue.admit(call, 9.0))
+
     async def test_old_pace_sample_is_refreshed_first(self):
         """Guards against calls started on an outdated pace sample."""
         queue, pace_requests = make_queue_with_pace()
--- a/goldcresthoist/node/request.py
+++ b/goldcresthoist/node/request.py
@@ -29,8 +29,6 @@
 # No retry or hedge is sent when less than this share of the usual time of the work is
 # left until the deadline, because its response would come too late.
 MIN_TIME_LEFT_SHARE = 0.7
-# Tokens of the retry budget that hedges must leave for retries of failed requests.
-HEDGE_BUDGET_RESERVE = 1.0
 # Bounds of the Retry-After of refusals.
 MIN_RETRY_AFTER_S = 0.08
 MAX_RETRY_AFTER_S = 1.0
@@ -73,6 +71,8 @@
     deadline : float
         Monotonic time at which the caller gets an error instead of a response
         from an upstream.
+    caller_deadline : float
+        Monotonic time until which the caller waits.
     first_sent : float
         Monotonic time at which the caller first sent this request.
     state : RouteState
@@ -121,6 +121,7 @@
         "attempts",
         "body_complete",
         "body_started",
+        "caller_deadline",
         "crash_count",
         "deadline",
         "decisions",
@@ -161,6 +162,7 @@
         self.arrived = now = monotonic()
         # Either the route's time-out or the caller's deadline, whichever is earlier.
         self.deadline = now + min(wait_s, route.timeout_s)
+        self.caller_deadline = now + wait_s
         self.state = entry.services.route(route)
         self.rule = self.state.rule
         # `_read_prefix` sets an earlier time for a request that the caller repeats.
@@ -292,7 +294,9 @@
         now = monotonic()
         status = self.exchange.status if self.exchange.started else 0
         if self.fingerprint and not 200 <= status < 300:
-            self.entry.client_retries.record(self.fingerprint, self.first_sent, now)
+            self.entry.client_retries.record(
+                self.fingerprint, self.first_sent, self.caller_deadline
+            )
         self.entry.counters.add("requests", route=self.rule.name, outcome=self.outcome)
         self.entry.counters.observe(
             "request_seconds", now - self.arrived, outcome=self.outcome
@@ -449,7 +453,7 @@
             or not self._count_alternatives(now)
         ):
             return None
-        if not self.service.budget.try_take(HEDGE_BUDGET_RESERVE):
+        if not self.service.budget.try_take_for_hedge():
             self.entry.counters.add("retries_denied")
             return None
         hedge = self._offer(hedge=True)
--- a/goldcresthoist/node/tests/test_path.py
+++ b/goldcresthoist/node/tests/test_path.py
@@ -59,9 +59,9 @@
         self.assertEqual(answer.status, 503)
         ((first, _),) = client_retries.entries.values()
         await self.site.call(self.first, "/read/1?fault=shed")
-        ((again, ended),) = client_retries.entries.values()
+        ((again, deadline),) = client_retries.entries.values()
         self.assertEqual(again, first)
-        self.assertGreater(ended, first)
+        self.assertGreater(deadline, first)
         self.assert_served(*await self.site.call(self.first, "/read/2"))
         self.assertEqual(len(client_retries.entries), 1)
 
