Discover the local upstream by its health check after a start

Change: once the departures are known from the store and peers had 0.1 s to report, the daemon asks the health check, which names the upstream, its slots and its pace. An identity with any departed run is not taken. A departure without a start time now stops the calls at once; before, they went on until the next heartbeat.

--- a/goldcresthoist/node/announcements.py
+++ b/goldcresthoist/node/announcements.py
@@ -127,6 +127,7 @@
         ``born_ms`` is the start time of the run in Unix milliseconds, or 0 when the
         upstream did not give it; see `LocalUpstream.mark_departed`.
         """
+        self.own.complete_discovery(identity, born_ms)
         # Whether it is the current run that departs.
         known = self.own.identity == identity and (
             not born_ms or born_ms == self.own.born_ms
--- a/goldcresthoist/node/assembly.py
+++ b/goldcresthoist/node/assembly.py
@@ -18,6 +18,7 @@
 from goldcresthoist.fleet.messages import KneeVerdict, SuspectNotice
 from goldcresthoist.links import LinkClosed, LinkPool, LinkServer
 from goldcresthoist.node.announcements import AnnouncementServer
+from goldcresthoist.node.discovery import UpstreamDiscovery
 from goldcresthoist.node.entry import EntryServer
 from goldcresthoist.node.own_upstream import LocalUpstream
 from goldcresthoist.node.services import FleetServices
@@ -155,6 +156,9 @@
             self.log,
             self.counters,
         )
+        self.discovery = UpstreamDiscovery(
+            self.own, self.server, self.registration, self.log
+        )
         self.caller_server = CallerServer(self.entry.handle, self.counters)
         self.announcement_server = CallerServer(
             self.announcements.handle, self.counters
--- /dev/null
+++ b/goldcresthoist/node/discovery.py
@@ -0,0 +1,75 @@
+"""Discovery of the local upstream by its health check after a start of the daemon."""
+
+import asyncio
+from time import monotonic
+
+from goldcresthoist.platform.fields import parse_response_fields
+from goldcresthoist.upstreams import UpstreamError
+
+__all__ = ["UpstreamDiscovery"]
+
+# Time in which peers report a departure that the store does not have.
+PEER_REPORT_S = 0.1
+# Interval between health checks, their time limit and their largest number. Each health
+# check is priced, and the next announcement makes them needless.
+RETRY_INTERVAL_S = 0.3
+TIMEOUT_S = 0.2
+MAX_ATTEMPTS = 4
+# Interval of the checks for a configuration with the path of the health check.
+PATH_POLL_S = 0.05
+
+
+class UpstreamDiscovery:
+    """Learns the identity of the local upstream before it announces itself.
+
+    An upstream announces itself every 1.5 s. When only its daemon restarts, it would
+    get no calls until then.
+
+    Nothing is learned about an identity that has departed in any run, since a health
+    check does not tell which run responds, and nothing before the departures that an
+    earlier process of this daemon acknowledged are known.
+
+    Parameters
+    ----------
+    own : LocalUpstream
+    server : UpstreamServer
+    registration : Registration
+    log
+        Has ``event(name, **fields)``.
+    """
+
+    def __init__(self, own, server, registration, log):
+        self.own = own
+        self.server = server
+        self.registration = registration
+        self.log = log
+
+    async def run(self):
+        """Ask until the identity is known or no attempt is left."""
+        await self.registration.rows_loaded.wait()
+        await asyncio.sleep(PEER_REPORT_S)
+        attempts = 0
+        while self.own.identity is None and attempts < MAX_ATTEMPTS:
+            path = self.server.probe.health_path()
+            if not path:
+                await asyncio.sleep(PATH_POLL_S)
+                continue
+            attempts += 1
+            try:
+                async with asyncio.timeout(TIMEOUT_S):
+                    answer = await self.server.probe.fetch(path)
+            except (TimeoutError, UpstreamError, OSError, RuntimeError) as exc:
+                self.log.event("upstream not discovered", reason=repr(exc))
+            else:
+                self._apply(answer)
+            await asyncio.sleep(RETRY_INTERVAL_S)
+
+    def _apply(self, answer):
+        fields = parse_response_fields(answer.headers)
+        now = monotonic()
+        if answer.status != 200 or fields.identity is None or fields.slots < 1:
+            return
+        if self.own.discover(fields.identity, fields.slots):
+            self.log.event("upstream discovered", upstream=fields.identity)
+            self.server.queue.pace.record(fields.pace, now)
+            self.server.upstream_changed(False)
--- a/goldcresthoist/node/lifecycle.py
+++ b/goldcresthoist/node/lifecycle.py
@@ -77,6 +77,7 @@
         node.log.event("started", service=settings.service, ip=settings.ip)
         tasks = [
             loop.create_task(node.registration.run()),
+            loop.create_task(node.discovery.run()),
             loop.create_task(_start_configuration_watch(node)),
             loop.create_task(_watch_settings(node, reload)),
         ]
--- a/goldcresthoist/node/own_upstream.py
+++ b/goldcresthoist/node/own_upstream.py
@@ -74,6 +74,9 @@
         Monotonic time in seconds of the last announcement of the current run.
     leaving : bool
         Whether the current run drains or has departed.
+    discovered : bool
+        Whether the current run is known from a health check only, which does not give
+        its start time.
     """
 
     def __init__(self, address, service):
@@ -97,6 +100,7 @@
         # announcement; until then no calls are sent.
         self.rejected_run = None
         self.leaving = False
+        self.discovered = False
 
     def usable(self):
         """Return whether calls may be sent to the local upstream."""
@@ -112,6 +116,7 @@
         if announcement.address != self.address or announcement.service != self.service:
             return AnnouncementResult.FOREIGN
         run = (announcement.identity, announcement.born_ms)
+        self.complete_discovery(*run)
         known = (self.identity, self.born_ms)
         if run in self.departed or self._started_before_departure(announcement):
             if run == known:
@@ -131,6 +136,35 @@
             return AnnouncementResult.NEW
         return AnnouncementResult.KNOWN
 
+    def discover(self, identity, slots):
+        """Store an identity that a health check gave; return whether it is accepted.
+
+        It is not when a run is known already, or when any run of the identity has
+        departed. The start time is unknown until the first announcement.
+        """
+        departed = identity in self.departed_before_ms or any(
+            identity == run[0] for run in self.departed
+        )
+        if self.identity is not None or departed:
+            return False
+        self.identity = identity
+        self.slots = slots
+        self.discovered = True
+        return True
+
+    def complete_discovery(self, identity, born_ms):
+        """Take the start time of a discovered run from what it says of itself.
+
+        If another identity says something, that of the health check is discarded.
+        """
+        if not self.discovered:
+            return
+        self.discovered = False
+        if identity == self.identity:
+            self.born_ms = born_ms
+        else:
+            self.identity = None
+
     def mark_departed(self, identity, born_ms=0, now_ms=0):
         """Exclude a run from all further calls.
 
@@ -153,6 +187,8 @@
         if not born_ms and identity == self.identity:
             born_ms = self.born_ms
         if not born_ms:
+            if identity == self.identity:
+                self.leaving = True
             self.departed_before_ms[identity] = now_ms
             while len(self.departed_before_ms) > MAX_DEPARTED_RUNS:
                 self.departed_before_ms.pop(next(iter(self.departed_before_ms)))
--- a/goldcresthoist/node/pace_probe.py
+++ b/goldcresthoist/node/pace_probe.py
@@ -110,7 +110,8 @@
         pace, reason = 0.0, "health answer contains no pace"
         try:
             async with asyncio.timeout(PROBE_TIMEOUT_S):
-                pace = await self._fetch_pace(path)
+                answer = await self.fetch(path)
+            pace = parse_response_fields(answer.headers).pace
         except TimeoutError:
             reason = f"no answer within {PROBE_TIMEOUT_S} s"
         except (UpstreamError, OSError, RuntimeError) as exc:
@@ -119,7 +120,14 @@
         self.counters.add("pace_probes", outcome="told" if pace > 0.0 else "failed")
         return pace, reason
 
-    async def _fetch_pace(self, path):
+    async def fetch(self, path):
+        """Send one health check; return the `UpstreamResponse`, whose body was read.
+
+        Raises
+        ------
+        UpstreamError, OSError, RuntimeError
+            When there is no complete response.
+        """
         pool = self.server.pool
         connection = acquire_recent_idle(pool, MAX_IDLE_S) or await pool.acquire()
         try:
@@ -131,6 +139,6 @@
             while await answer.body.read():
                 pass
             mark_idle(connection, answer.headers)
-            return parse_response_fields(answer.headers).pace
+            return answer
         finally:
             pool.release(connection)
--- a/goldcresthoist/node/tests/site.py
+++ b/goldcresthoist/node/tests/site.py
@@ -155,7 +155,10 @@
         node = self.nodes[ip] = Node(NodeSettings.from_text(text))
         node.log.descriptor = -1
         await node.listen()
-        node.background = [asyncio.create_task(node.registration.run())]
+        node.background = [
+            asyncio.create_task(node.registration.run()),
+            asyncio.create_task(node.discovery.run()),
+        ]
         node.watch.start()
         return node
 
--- a/goldcresthoist/node/tests/test_own_upstream.py
+++ b/goldcresthoist/node/tests/test_own_upstream.py
@@ -25,6 +25,45 @@
         self.assertIs(self.announce(sequence=2), AnnouncementResult.KNOWN)
         self.assertFalse(self.own.is_warming_up(1.0))
 
+    def test_discovered_upstream_is_the_one_that_announces_itself(self):
+        """Guards against connections that are closed when the announcement arrives."""
+        self.assertTrue(self.own.discover("i-1", 12))
+        self.assertTrue(self.own.usable())
+        self.assertIs(self.announce(), AnnouncementResult.KNOWN)
+        self.assertEqual(self.own.born_ms, 1000)
+        self.assertFalse(self.own.discover("i-2", 12))
+
+    def test_discovered_upstream_can_leave(self):
+        """Guards against calls after an acknowledged departure.
+
+        The start time of the run is not known when it says that it leaves.
+        """
+        for born_ms in (0, 1000):
+            with self.subTest(born_ms=born_ms):
+                self.own = LocalUpstream("10.0.0.1:8000", "ledger")
+                self.own.discover("i-1", 12)
+                self.own.complete_discovery("i-1", born_ms)
+                self.own.mark_departed("i-1", born_ms, now_ms=2000)
+                self.assertFalse(self.own.usable())
+        self.own.discover("i-1", 12)
+        self.assertIs(self.announce(draining=True), AnnouncementResult.DEPARTED)
+        self.assertFalse(self.own.usable())
+
+    def test_departed_identity_is_not_discovered(self):
+        """Guards against a restarted daemon that uses an upstream that has left."""
+        for born_ms in (0, 1000):
+            with self.subTest(born_ms=born_ms):
+                own = LocalUpstream("10.0.0.1:8000", "ledger")
+                own.mark_departed("i-1", born_ms, now_ms=2000)
+                self.assertFalse(own.discover("i-1", 12))
+                self.assertTrue(own.discover("i-2", 12))
+
+    def test_announcement_of_another_identity_replaces_a_discovered_one(self):
+        """Guards against an upstream that is not used because it started just now."""
+        self.own.discover("i-1", 12)
+        self.assertIs(self.announce("i-2"), AnnouncementResult.NEW)
+        self.assertEqual(self.own.identity, "i-2")
+
     def test_late_announcement_is_ignored(self):
         """Guards against a draining upstream that becomes usable again.
 
--- a/goldcresthoist/node/tests/test_pace_probe.py
+++ b/goldcresthoist/node/tests/test_pace_probe.py
@@ -107,15 +107,15 @@
         """
         self.target.pace = 700
         await self.run_probe()
-        fetch_pace = self.probe._fetch_pace
+        fetch = self.probe.fetch
         results = [TimeoutError, None]
 
         async def fetch_late(path):
             if (error := results.pop(0)) is not None:
                 raise error
-            return await fetch_pace(path)
+            return await fetch(path)
 
-        self.probe._fetch_pace = fetch_late
+        self.probe.fetch = fetch_late
         await self.run_probe()
         queue = self.server.queue
         self.assertLess(queue.pace_unavailable_until, monotonic())
--- a/goldcresthoist/node/tests/test_path.py
+++ b/goldcresthoist/node/tests/test_path.py
@@ -263,6 +263,36 @@
         await wait_until(self.site.settled)
         self.assert_served(*await self.site.call(self.first, "/write/1", "POST", b"x"))
 
+    async def test_restarted_daemon_needs_no_announcement(self):
+        """Guards against upstreams without calls until their next announcement.
+
+        After a loss of all daemons, every upstream is in this state.
+        """
+        target = self.site.targets[self.third]
+        target.heartbeat_task.cancel()
+        await self.site.stop_node(self.third)
+        await self.site.start_node(self.third, "ledger")
+        await wait_until(self.site.settled)
+        self.assert_served(*await self.site.call(self.first, "/write/1", "POST", b"x"))
+        sequence = target.sequence
+        await target.announce()
+        self.assertEqual(target.sequence, sequence + 1)
+        self.assertEqual(self.site.nodes[self.third].own.born_ms, target.born_ms)
+
+    async def test_draining_upstream_is_not_discovered(self):
+        """Guards against new calls to an upstream that leaves.
+
+        Its health check fails then; the daemon that restarts knows nothing else.
+        """
+        target = self.site.targets[self.third]
+        target.heartbeat_task.cancel()
+        target.healthy = False
+        await self.site.stop_node(self.third)
+        node = await self.site.start_node(self.third, "ledger")
+        probes = target.probes
+        await wait_until(lambda: target.probes >= probes + 2)
+        self.assertFalse(node.own.usable())
+
     async def test_configuration_reaches_all_daemons_and_is_not_downgraded(self):
         """Guards against daemons that keep using different versions.
 
--- a/goldcresthoist/platform/fields.py
+++ b/goldcresthoist/platform/fields.py
@@ -21,9 +21,11 @@
 _NOT_EXECUTED = b"not-executed"
 _SERVER_LOAD = b"server-load"
 _CONTENT_ENCODING = b"content-encoding"
+_INSTANCE_ID = b"instance-id"
 
 # Fields that a daemon sets in requests to an upstream; those of the caller are removed.
 _DAEMON_FIELDS = frozenset((_DEADLINE, _CALLER_SERVICE, _EXPECTED_INSTANCE))
+MAX_IDENTITY_BYTES = 200
 # A longer wait that a caller gives is reduced to this one.
 MAX_DEADLINE_MS = 3_600_000
 # An upstream reports its pace in percent: 100 when requests take their usual time, 200
@@ -75,6 +77,7 @@
     waiting: int
     slots: int
     pace: float
+    identity: str | None = None
 
 
 def parse_request_fields(headers):
@@ -168,4 +171,12 @@
         waiting,
         slots,
         max(0.0, pace),
+        _identity(header_value(headers, _INSTANCE_ID)),
     )
+
+
+def _identity(value):
+    """Return a valid identity as text, or None."""
+    if not value or len(value) > MAX_IDENTITY_BYTES or not value.isascii():
+        return None
+    return value.decode()
--- a/goldcresthoist/tests/standins/platform_target.py
+++ b/goldcresthoist/tests/standins/platform_target.py
@@ -70,6 +70,7 @@
         # Processing time in percent of the usual time, as reported in Server-Load.
         self.pace = 100
         self.health_hangs = False
+        self.healthy = True
         # Number of further responses that break off.
         self.breaks = 0
         # Number of health checks received.
@@ -202,7 +203,8 @@
         if self.url == b"/health":
             target.probes += 1
             if not target.health_hangs:
-                self._write(200, b"", [("Instance-Id", target.identity)])
+                status = 200 if target.healthy else 503
+                self._write(status, b"", [("Instance-Id", target.identity)])
             return
         if self.headers.get("expect-instance") != target.identity:
             self._write(421, b"", [("Not-Executed", "1")])
