--- a/goldcresthoist/node/serving.py
+++ b/goldcresthoist/node/serving.py
@@ -18,8 +18,8 @@
 
 # Interval of the checks for queued calls whose response would come too late.
 EXPIRY_INTERVAL_S = 0.02
-# The reported pace is multiplied by this factor while the local upstream warms up: it
-# takes about twice its usual time in the first seconds after its start.
+# The reported pace is at least this while the local upstream warms up: it takes about
+# twice its usual time in the first seconds after its start.
 WARM_UP_PACE = 2.0
 # The failure share is a moving average: weight of one call, and the half-life of the
 # average while no calls end.
@@ -108,7 +108,8 @@
         gauge = queue.pace
         pace = gauge.pace
         if self.own.is_warming_up(now):
-            pace = max(pace, 1.0) * WARM_UP_PACE
+            # Some upstreams include the warm-up in their pace.
+            pace = max(pace, WARM_UP_PACE)
         return LoadReport(
             queue.running,
             len(queue.waiting),
--- a/goldcresthoist/node/tests/test_serving.py
+++ b/goldcresthoist/node/tests/test_serving.py
@@ -1,6 +1,7 @@
 """Tests of the admission of calls to the local upstream."""
 
 import unittest
+from time import monotonic
 
 from goldcresthoist.balance import CrashSuspects
 from goldcresthoist.fleet.tests.builders import FakeCounters, FakeLog
@@ -72,6 +73,17 @@
         self.server.begin(call)
         return call
 
+    async def test_warm_up_is_counted_once(self):
+        """Guards against a cold upstream that looks four times slower than usual.
+
+        On sdnp-mesh upstreams include the warm-up in the pace that they report; on
+        tobar-mesh they did not.
+        """
+        self.own.apply_announcement(make_announcement(sequence=2, cold_s=60.0), 1e9)
+        for reported, expected in ((1.0, 2.0), (2.0, 2.0), (8.0, 8.0)):
+            self.server.queue.pace.record(reported, monotonic())
+            self.assertEqual(self.server.load_report().pace, expected)
+
     async def test_call_for_another_service_is_refused(self):
         """Guards against a call that is executed by the wrong service.
 
