Stop without cutting responses, and survive unexpected errors

- Requests accepted just before a planned stop were cut: it could happen.
A daemon ended when its handlers had, while the rest of a response was still in the buffer of a connection or link; and an idle connection was closed although a request lay unread in its socket, which resets it.
Stops now wait for what is unsent, within the grace time, and connections with unread input stay open.
- One malformed message or unexpected error took a process down: parts of it could go.
The decoder library raises RecursionError for deeply nested input, which no decoder caught; it ended the watch of the store for good.
Decoders translate it, background tasks are started again, and a failing handler costs its own message or request only, whose caller gets 500 with an unknown outcome.

--- a/goldcresthoist/callers/refusal.py
+++ b/goldcresthoist/callers/refusal.py
@@ -28,6 +28,7 @@
     "unknown-operation": 404,
     "operation-finished": 409,
     "answer-not-kept": 409,
+    "internal-error": 500,
 }
 
 
--- a/goldcresthoist/callers/server.py
+++ b/goldcresthoist/callers/server.py
@@ -1,6 +1,7 @@
 """HTTP/1.1 server with keep-alive and pipelining."""
 
 import asyncio
+import select
 from collections import deque
 
 from goldcresthoist.callers.errors import BadRequest, CallerError, CallerGone
@@ -51,6 +52,8 @@
         self.listener = None
         self.sweep_task = None
         self.limits = ConnectionLimits()
+        # Called with each unexpected exception of the handler.
+        self.on_error = lambda error: None
 
     def set_limits(self, limits):
         """Replace the limits, also those of open connections."""
@@ -81,6 +84,13 @@
         for connection in tuple(self.connections):
             connection.close_if_idle()
 
+    def unsent_bytes(self):
+        """Return the number of bytes that callers have not accepted yet."""
+        return sum(
+            connection.transport.get_write_buffer_size()
+            for connection in self.connections
+        )
+
     async def close(self):
         """Stop accepting and close every connection."""
         if self.sweep_task is not None:
@@ -189,14 +199,27 @@
         self.transport.abort()
 
     def close_if_idle(self):
-        """Close the connection if no request is active or partly received."""
+        """Close the connection if no request is active, partly received or unread.
+
+        Closing a socket with unread input resets the connection. The caller would not
+        know whether its request was executed.
+        """
         if (
             self.current_exchange is None
             and not self.pending_requests
             and not self.parser.in_head
+            and not self._has_unread_input()
         ):
             self.transport.close()
 
+    def _has_unread_input(self):
+        sock = self.transport.get_extra_info("socket")
+        if sock is None or self.closed:
+            return False
+        poller = select.poll()
+        poller.register(sock.fileno(), select.POLLIN)
+        return bool(poller.poll(0))
+
     def close_if_overdue(self, now):
         """Close the connection if no complete head arrives within the time limit."""
         if self.current_exchange is not None or self.pending_requests:
@@ -300,6 +323,14 @@
             # The handler may have acted on the valid part of the body.
             if not exchange.started:
                 exchange.answer(Refusal(exc.code, str(exc), Outcome.UNKNOWN))
+        except Exception as exc:
+            # One request must not end the process or leave its caller without a
+            # response.
+            self.server.counters.add("messages_failed", kind="request")
+            self.server.on_error(exc)
+            if not exchange.started:
+                message = "the request failed by an error of the daemon"
+                exchange.answer(Refusal("internal-error", message, Outcome.UNKNOWN))
         finally:
             self.current_exchange = None
             if not exchange.finished:
--- a/goldcresthoist/callers/tests/test_caller_server.py
+++ b/goldcresthoist/callers/tests/test_caller_server.py
@@ -48,6 +48,60 @@
         return caller
 
 
+class StopTest(CallerServerTestCase):
+    """Guards against requests and responses that a planned stop cuts off."""
+
+    async def test_response_that_is_not_received_yet_counts(self):
+        """Guards against a stop after the handler has ended, before the caller reads.
+
+        The rest of the response is only in the buffer of the connection then.
+        """
+        body = bytes(16 * 1024 * 1024)
+
+        async def handle(request, exchange):
+            exchange.start(200, (), body, True)
+
+        self.server.handler = handle
+        caller = await self.connect()
+        caller.write(GET + b"\r\n")
+        await eventually(lambda: self.server.unsent_bytes() > 0)
+        self.server.start_draining()
+        self.assertEqual(len((await caller.answer()).body), len(body))
+        await eventually(lambda: self.server.unsent_bytes() == 0)
+
+    async def test_request_that_was_not_read_yet_is_answered(self):
+        """Guards against a reset for a request that arrived just before the stop."""
+        caller = await self.connect()
+        caller.write(GET + b"\r\n")
+        await caller.answer()
+        # This is sent at once, and the server cannot read it before it starts to drain.
+        caller.write(GET + b"\r\n")
+        self.server.start_draining()
+        answer = await caller.answer()
+        self.assertEqual(answer.status, 200)
+        self.assertEqual(answer.headers["connection"], "close")
+
+
+class UnexpectedErrorTest(CallerServerTestCase):
+    async def test_caller_gets_an_answer_and_the_server_goes_on(self):
+        """Guards against a request that ends the process, or hangs, by an error."""
+
+        async def fail(request, exchange):
+            raise KeyError(request.target)
+
+        handle, self.server.handler = self.server.handler, fail
+        seen = []
+        self.server.on_error = seen.append
+        caller = await self.connect()
+        caller.write(GET + b"\r\n")
+        answer = await caller.answer()
+        self.assertEqual((answer.status, answer.outcome), (500, "unknown"))
+        self.assertEqual([type(error) for error in seen], [KeyError])
+        self.server.handler = handle
+        caller.write(GET + b"\r\n")
+        self.assertEqual((await caller.answer()).status, 200)
+
+
 class MalformedRequestTest(CallerServerTestCase):
     """Guards against request smuggling, crashes and ambiguous refusals."""
 
--- a/goldcresthoist/control/codec.py
+++ b/goldcresthoist/control/codec.py
@@ -57,7 +57,7 @@
             raise GRPCError(Status.UNAUTHENTICATED, "wrong MAC")
         try:
             return msgspec.msgpack.decode(body, type=message_type)
-        except msgspec.DecodeError as exc:
+        except (msgspec.DecodeError, RecursionError) as exc:
             self.rejected += 1
             raise GRPCError(Status.INVALID_ARGUMENT, str(exc)) from exc
 
--- a/goldcresthoist/daemon/assembly.py
+++ b/goldcresthoist/daemon/assembly.py
@@ -35,7 +35,7 @@
 from goldcresthoist.operators.fleet_configuration import FleetConfiguration
 from goldcresthoist.operators.ledger_operations import LedgerOperations
 from goldcresthoist.table import TableClient
-from goldcresthoist.telemetry import Counters
+from goldcresthoist.telemetry import Counters, log_event
 from goldcresthoist.upstreams import ConnectionPool
 
 __all__ = ["Daemon"]
@@ -123,6 +123,9 @@
         self.caller_server = CallerServer(
             self.router.handle, self.counters, self.router.begin
         )
+        self.caller_server.on_error = lambda error: log_event(
+            "error", "request failed", error=error
+        )
 
     def _build_operator_server(self):
         self.status = StatusReporter(self)
--- a/goldcresthoist/daemon/lifecycle.py
+++ b/goldcresthoist/daemon/lifecycle.py
@@ -25,6 +25,8 @@
 # and those with open connections have time to close them.
 DRAIN_NOTICE_S = 1.0
 DRAIN_POLL_INTERVAL_S = 0.05
+# Longest wait of a draining daemon for receivers that are slow to read.
+FLUSH_TIMEOUT_S = 10.0
 # Longest wait of a draining daemon for records of operations that are being written.
 RECORD_WRITE_TIMEOUT_S = 10.0
 JOIN_TIMEOUT_S = 2.0
@@ -156,6 +158,7 @@
     daemon.caller_server.start_draining()
     await asyncio.sleep(DRAIN_NOTICE_S)
     await _wait_for_calls(daemon, deadline)
+    await _flush_responses(daemon)
     await daemon.ledger.wait_for_background_writes(
         asyncio.get_running_loop().time() + RECORD_WRITE_TIMEOUT_S
     )
@@ -176,6 +179,17 @@
         await asyncio.sleep(DRAIN_POLL_INTERVAL_S)
 
 
+async def _flush_responses(daemon):
+    """Wait until callers and other daemons have received what was sent to them."""
+    deadline = monotonic() + FLUSH_TIMEOUT_S
+    servers = (daemon.caller_server, daemon.link_server)
+    while any(server.unsent_bytes() for server in servers):
+        if monotonic() > deadline:
+            log_event("error", "responses cut off by the drain")
+            return
+        await asyncio.sleep(DRAIN_POLL_INTERVAL_S)
+
+
 def _running_calls(daemon):
     """Return the number of calls at the upstream and of connections with requests."""
     callers = daemon.caller_server.connections
--- a/goldcresthoist/fleet/channel.py
+++ b/goldcresthoist/fleet/channel.py
@@ -22,6 +22,8 @@
         Key shared by all daemons of the fleet.
     counters
         Has ``add(name, amount=1, **labels)``.
+    log
+        Has ``event(name, **fields)``.
 
     Attributes
     ----------
@@ -30,11 +32,12 @@
         dropped.
     """
 
-    def __init__(self, ip, port, key, counters):
+    def __init__(self, ip, port, key, counters, log):
         self.ip = ip
         self.port = port
         self.sealer = Sealer(key, Datagram)
         self.counters = counters
+        self.log = log
         self.handlers = {}
         self.transport = None
 
@@ -63,8 +66,15 @@
             self.counters.add("datagrams_dropped")
             return
         handler = self.handlers.get(type(message))
-        if handler is not None:
+        if handler is None:
+            return
+        try:
             handler(message, addr[0])
+        except Exception as exc:
+            # One message must not end the process or keep others from being handled.
+            kind = type(message).__name__
+            self.counters.add("messages_failed", kind=kind)
+            self.log.event("message failed", kind=kind, error=repr(exc))
 
     def error_received(self, exc):
         """Count a datagram that the network reports as undeliverable."""
--- a/goldcresthoist/fleet/configuration.py
+++ b/goldcresthoist/fleet/configuration.py
@@ -21,6 +21,7 @@
     StoreError,
     decode_configuration,
 )
+from goldcresthoist.supervision import keep_running
 
 __all__ = ["ConfigurationWatch"]
 
@@ -155,9 +156,10 @@
         """Start the tasks that watch the store and report the version."""
         loop = asyncio.get_running_loop()
         self.shortfall_since = monotonic()
+        parts = {"watch": self._run, "version-reports": self._report_periodically}
         self.tasks = [
-            loop.create_task(self._run()),
-            loop.create_task(self._report_periodically()),
+            loop.create_task(keep_running(name, run, self.log, self.counters))
+            for name, run in parts.items()
         ]
 
     async def close(self):
--- a/goldcresthoist/fleet/messages.py
+++ b/goldcresthoist/fleet/messages.py
@@ -142,5 +142,5 @@
     decoder = _record if kind is MemberRecord else _departed
     try:
         return decoder.decode(value)
-    except msgspec.MsgspecError:
+    except (msgspec.MsgspecError, RecursionError):
         return None
--- a/goldcresthoist/gossip/envelope.py
+++ b/goldcresthoist/gossip/envelope.py
@@ -71,7 +71,7 @@
             raise BadMac(f"datagram of {len(data)} bytes has a wrong MAC")
         try:
             return self.decoder.decode(body)
-        except msgspec.DecodeError as exc:
+        except (msgspec.DecodeError, RecursionError) as exc:
             raise CorruptDatagram(f"datagram cannot be decoded: {exc}") from exc
 
     def _mac(self, body, destination):
--- a/goldcresthoist/gossip/exchange.py
+++ b/goldcresthoist/gossip/exchange.py
@@ -245,7 +245,7 @@
             members = [self.member_decoder.decode(raw) for raw in packet.members]
             for member in members:
                 check_address(member.gossip_address)
-        except (msgspec.DecodeError, ValueError) as exc:
+        except (msgspec.DecodeError, ValueError, RecursionError) as exc:
             raise CorruptDatagram(f"invalid member: {exc}") from exc
         return members
 
--- a/goldcresthoist/links/acceptor.py
+++ b/goldcresthoist/links/acceptor.py
@@ -87,6 +87,10 @@
             if link.ready:
                 link.send(Pong(0, load))
 
+    def unsent_bytes(self):
+        """Return the number of bytes that other daemons have not accepted yet."""
+        return sum(link.transport.get_write_buffer_size() for link in self.links)
+
     async def close(self):
         """Stop accepting and close every link."""
         if self.sweep_task is not None:
--- a/goldcresthoist/links/frames.py
+++ b/goldcresthoist/links/frames.py
@@ -340,5 +340,5 @@
 def _decode(payload):
     try:
         return _decoder.decode(payload)
-    except (msgspec.DecodeError, msgspec.ValidationError) as exc:
+    except (msgspec.DecodeError, RecursionError) as exc:
         raise CorruptFrame(f"frame cannot be decoded: {exc}") from exc
--- a/goldcresthoist/node/assembly.py
+++ b/goldcresthoist/node/assembly.py
@@ -103,7 +103,7 @@
     def _build_fleet(self, key):
         settings = self.settings
         self.channel = FleetChannel(
-            settings.ip, settings.gossip_port, key, self.counters
+            settings.ip, settings.gossip_port, key, self.counters, self.log
         )
         self.directory = Directory(self.record, self.channel, self.log)
         self.store = StoreClient(settings.store_address, self.counters)
@@ -165,6 +165,8 @@
         )
         self.readiness_server = CallerServer(self._serve_readiness, self.counters)
         self.metrics_server = CallerServer(self._serve_operators, self.counters)
+        for server in self._http_servers():
+            server.on_error = self._log_request_error
 
     def _connect_components(self):
         self.directory.on_member = self.services.add_member
@@ -237,17 +239,17 @@
         self.directory.announce()
 
     def busy(self):
-        """Return whether requests or calls are in progress."""
-        return bool(self.entry.in_progress or self.server.running)
+        """Return whether requests or calls are in progress, or responses unsent."""
+        return bool(
+            self.entry.in_progress
+            or self.server.running
+            or self.caller_server.unsent_bytes()
+            or self.link_server.unsent_bytes()
+        )
 
     async def close(self):
         """Stop all components and write out the log."""
-        for server in (
-            self.caller_server,
-            self.announcement_server,
-            self.readiness_server,
-            self.metrics_server,
-        ):
+        for server in self._http_servers():
             await server.close()
         await self.watch.close()
         await self.registration.close()
@@ -259,6 +261,17 @@
         self.channel.close()
         self.log.flush()
 
+    def _http_servers(self):
+        return (
+            self.caller_server,
+            self.announcement_server,
+            self.readiness_server,
+            self.metrics_server,
+        )
+
+    def _log_request_error(self, error):
+        self.log.event("request failed", error=repr(error))
+
     def _apply_table(self, table):
         """Apply the limits and the routes of a new configuration."""
         limits = table.limits
--- a/goldcresthoist/node/lifecycle.py
+++ b/goldcresthoist/node/lifecycle.py
@@ -3,12 +3,14 @@
 import asyncio
 import signal
 import sys
+from functools import partial
 from pathlib import Path
 from time import monotonic
 
 from goldcresthoist.node.assembly import Node
 from goldcresthoist.platform import InvalidNodeSettings, NodeSettings
 from goldcresthoist.platform.settings import settings_path
+from goldcresthoist.supervision import keep_running
 
 __all__ = ["drain", "run", "serve"]
 
@@ -75,12 +77,16 @@
     try:
         await node.listen()
         node.log.event("started", service=settings.service, ip=settings.ip)
+        parts = {
+            "registration": node.registration.run,
+            "discovery": node.discovery.run,
+            "settings": partial(_watch_settings, node, reload),
+        }
         tasks = [
-            loop.create_task(node.registration.run()),
-            loop.create_task(node.discovery.run()),
-            loop.create_task(_start_configuration_watch(node)),
-            loop.create_task(_watch_settings(node, reload)),
+            loop.create_task(keep_running(name, run, node.log, node.counters))
+            for name, run in parts.items()
         ]
+        tasks.append(loop.create_task(_start_configuration_watch(node)))
         await stop.wait()
         await drain(node)
     finally:
--- a/goldcresthoist/node/serving.py
+++ b/goldcresthoist/node/serving.py
@@ -13,6 +13,7 @@
 from goldcresthoist.links.frames import ConfigurationContent, FailureKind, LoadReport
 from goldcresthoist.node.pace_probe import PaceProbe
 from goldcresthoist.node.upstream_run import CallExecution
+from goldcresthoist.supervision import keep_running
 
 __all__ = ["UpstreamServer"]
 
@@ -99,7 +100,9 @@
         # upstream is slower when nearly all of its slots are in use (see
         # `KneeDetector`), and whether this verdict lowered the slot limit.
         self.on_knee_verdict = lambda verdict, decided: None
-        self.expiry_task = self.loop.create_task(self._expire())
+        self.expiry_task = self.loop.create_task(
+            keep_running("expiry", self._expire, log, counters)
+        )
 
     def load_report(self):
         """Return the `LoadReport` for other daemons."""
--- a/goldcresthoist/operators/_handlers.py
+++ b/goldcresthoist/operators/_handlers.py
@@ -106,7 +106,7 @@
         """Return the decoded JSON body."""
         try:
             return msgspec.json.decode(self.request.body, type=type_)
-        except msgspec.MsgspecError as exc:
+        except (msgspec.MsgspecError, RecursionError) as exc:
             raise InvalidRequest(f"request body: {exc}") from exc
 
     def team(self):
--- a/goldcresthoist/platform/announcements.py
+++ b/goldcresthoist/platform/announcements.py
@@ -99,7 +99,7 @@
     """
     try:
         decoded = _heartbeat.decode(body)
-    except (msgspec.MsgspecError, UnicodeDecodeError) as exc:
+    except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError) as exc:
         raise InvalidMessage(f"heartbeat of {identity!r}: {exc}") from exc
     status = decoded.status
     if status.state not in ("ready", "draining"):
@@ -139,6 +139,6 @@
         return Departure(identity, 0)
     try:
         decoded = _deregistration.decode(body)
-    except (msgspec.MsgspecError, UnicodeDecodeError) as exc:
+    except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError) as exc:
         raise InvalidMessage(f"departure of {identity!r}: {exc}") from exc
     return Departure(identity, decoded.born)
--- a/goldcresthoist/platform/configuration.py
+++ b/goldcresthoist/platform/configuration.py
@@ -90,7 +90,7 @@
     try:
         document = msgspec.json.decode(content)
         decoded = msgspec.convert(document, _Configuration)
-    except msgspec.MsgspecError as exc:
+    except (msgspec.MsgspecError, RecursionError) as exc:
         raise InvalidMessage(f"configuration: {exc}") from exc
     services = {item.name: item.health_path for item in decoded.services}
     limits = decoded.limits
--- a/goldcresthoist/platform/store.py
+++ b/goldcresthoist/platform/store.py
@@ -237,7 +237,7 @@
             raise StoreRefused(f"{name}: the store responded with status {status}")
         try:
             return _decoder.decode(content)
-        except msgspec.MsgspecError as exc:
+        except (msgspec.MsgspecError, RecursionError) as exc:
             raise InvalidMessage(f"malformed response to {name}: {exc}") from exc
 
     async def _exchange(self, method, name, query, body, deadline):
--- a/goldcresthoist/telemetry/_catalogue.py
+++ b/goldcresthoist/telemetry/_catalogue.py
@@ -24,6 +24,7 @@
     "unknown-operation",
     "operation-finished",
     "answer-not-kept",
+    "internal-error",
 )
 
 RETRY_REASONS = (
@@ -87,6 +88,8 @@
     "datagrams_undelivered": "Datagrams that the network reported as undelivered.",
     "log_lines_dropped": "Log lines lost to the limit on their rate.",
     "configuration_version": "Version of the configuration in force, -1 for none.",
+    "task_errors": "Background tasks that were started again after an error, by task.",
+    "messages_failed": "Messages whose handling raised an unexpected error, by kind.",
     "transfer_bytes": "Memory reserved for large responses, in bytes.",
     "configurations_malformed": "Malformed configurations that were ignored.",
     "configuration_unknown": "Kinds and fields of the configuration not understood.",
