Do not act on permissions that ran out during a pause

Report of other operators: a process that had been paused acted on a permission that had run out. It could happen: the time left in a call and the age in a version report count from their arrival, and a frozen daemon or a suspended machine reads them seconds later. The serving daemon ran such a call after its entry daemon had given it up; a starting daemon could take an outdated version for a confirmed one.

Change: PauseDetector tells how old input that is read after a pause may be, on a clock that counts suspension. Deadlines of calls and requests and the confirmation of versions are reduced by it, and a call whose time is over is not sent to the upstream.

Tests fail without the change: test_call_that_arrived_in_a_pause_keeps_its_deadline, test_what_arrived_in_a_pause_confirms_nothing_new.

--- a/goldcresthoist/fleet/configuration.py
+++ b/goldcresthoist/fleet/configuration.py
@@ -92,6 +92,7 @@
         Has ``event(name, **fields)``.
     counters
         Has ``add(name, amount=1, **labels)``.
+    pauses : PauseDetector
 
     Attributes
     ----------
@@ -129,12 +130,13 @@
         one have been watching the store; None while there are enough.
     """
 
-    def __init__(self, directory, store, fetch, log, counters):
+    def __init__(self, directory, store, fetch, log, counters, pauses):
         self.directory = directory
         self.store = store
         self.fetch = fetch
         self.log = log
         self.counters = counters
+        self.pauses = pauses
         self.table = None
         self.version = -1
         self.content = b""
@@ -273,7 +275,7 @@
         for row in page.rows:
             if row.key == CONFIGURATION_KEY and not row.removed:
                 self.newest_malformed = not self._apply(row.value)
-        self.watched_at = monotonic()
+        self.watched_at = monotonic() - self.pauses.input_age_s()
         if not self.newest_malformed:
             self.confirmed_at = self.watched_at
         if page.rows:
@@ -335,12 +337,13 @@
         if sender != message.ip:
             return
         now = monotonic()
+        sent_at = now - self.pauses.input_age_s()
         confirmed_at = float("-inf")
         if message.age_ms >= 0:
-            confirmed_at = now - message.age_ms / 1000.0
+            confirmed_at = sent_at - message.age_ms / 1000.0
         watched_at = float("-inf")
         if message.watch_age_ms >= 0:
-            watched_at = now - message.watch_age_ms / 1000.0
+            watched_at = sent_at - message.watch_age_ms / 1000.0
         watched_at = max(watched_at, confirmed_at)
         self.reports[message.ip] = _WatcherReport(now, watched_at)
         if message.version == self.version:
@@ -359,7 +362,9 @@
                 reply = await self.fetch(ip)
             if reply.content and reply.version > self.version:
                 if self._apply(_decompress(reply.content)):
-                    self.confirmed_at = monotonic() - max(0, reply.age_ms) / 1000.0
+                    age_s = max(0, reply.age_ms) / 1000.0
+                    age_s += self.pauses.input_age_s()
+                    self.confirmed_at = monotonic() - age_s
         except (TimeoutError, LinkError, OSError, zlib.error, ValueError) as exc:
             self.log.event("configuration not fetched", ip=ip, error=repr(exc))
 
--- a/goldcresthoist/fleet/tests/test_watch.py
+++ b/goldcresthoist/fleet/tests/test_watch.py
@@ -19,6 +19,7 @@
 )
 from goldcresthoist.links import LinkClosed
 from goldcresthoist.links.frames import ConfigurationContent
+from goldcresthoist.pauses import PauseDetector
 from goldcresthoist.platform import Row, RowPage
 
 
@@ -34,10 +35,16 @@
         for number in range(2, 12):
             self.directory.merge_record(make_record(f"10.0.0.{number}"))
         self.answers = {}
+        self.boot_time = 100.0
         self.log = FakeLog()
         self.counters = FakeCounters()
         self.watch = ConfigurationWatch(
-            self.directory, None, self.fetch, self.log, self.counters
+            self.directory,
+            None,
+            self.fetch,
+            self.log,
+            self.counters,
+            PauseDetector(lambda: self.boot_time),
         )
         self.watch.shortfall_since = monotonic()
         order = sorted(self.directory.members, key=self.directory.rank)
@@ -125,6 +132,21 @@
         rows = () if content is None else (Row("config", content, 1, False),)
         await self.watch._process_page(RowPage(rows, 1))
 
+    async def test_what_arrived_in_a_pause_confirms_nothing_new(self):
+        """Guards against a daemon that was frozen and takes an old version for new.
+
+        The report lay in its socket for as long as the freeze lasted.
+        """
+        ip = self.directory.other_addresses()[0]
+        self.boot_time += 5.0
+        self.deliver_report(ip, 9, 10)
+        self.assertIsNone(self.watch.fetch_task)
+        await self.process(make_content(5))
+        self.assertGreater(self.watch.age_s(monotonic()), 4.9)
+        self.boot_time += 0.2
+        await self.process(make_content(6))
+        self.assertLess(self.watch.age_s(monotonic()), 1.0)
+
     async def test_malformed_configuration_is_not_confirmed(self):
         """Guards against an outdated version that is reported as the newest.
 
--- a/goldcresthoist/node/assembly.py
+++ b/goldcresthoist/node/assembly.py
@@ -26,6 +26,7 @@
 from goldcresthoist.node.status import NodeStatus
 from goldcresthoist.node.transfers import TransferBudget
 from goldcresthoist.node.upstream_run import make_connection
+from goldcresthoist.pauses import PauseDetector
 from goldcresthoist.platform import StoreClient
 from goldcresthoist.telemetry import Counters, DecisionLog, PlainExposition
 from goldcresthoist.upstreams import ConnectionPool
@@ -83,6 +84,7 @@
         self.settings = settings
         self.counters = Counters(PlainExposition())
         self.log = DecisionLog(settings.instance)
+        self.pauses = PauseDetector()
         # Set to True when the process is about to stop. The readiness check then fails,
         # so that callers use another daemon.
         self.draining = False
@@ -113,6 +115,7 @@
             self._fetch_configuration,
             self.log,
             self.counters,
+            self.pauses,
         )
         self.registration = Registration(
             self.directory, self.store, self.watch, self.log
@@ -133,6 +136,7 @@
             self.counters,
             self.log,
             self.transfers,
+            self.pauses,
         )
         self.links = LinkPool(settings.ip, key, self.counters)
         self.link_server = LinkServer(settings.ip, key, self.server, self.counters)
--- a/goldcresthoist/node/entry.py
+++ b/goldcresthoist/node/entry.py
@@ -83,6 +83,11 @@
             self.refuse(exchange, 413, "body-too-large", fields.request_id)
             return
         wait_s = DEFAULT_WAIT_S if fields.wait_s is None else fields.wait_s
+        # The request may have arrived during a pause of this process.
+        wait_s -= self.server.pauses.input_age_s()
+        if wait_s <= 0.0:
+            self.refuse(exchange, 503, "deadline", fields.request_id)
+            return
         entry_request = EntryRequest(
             self, route, table, request, exchange, fields, wait_s
         )
--- a/goldcresthoist/node/lifecycle.py
+++ b/goldcresthoist/node/lifecycle.py
@@ -78,6 +78,7 @@
         await node.listen()
         node.log.event("started", service=settings.service, ip=settings.ip)
         parts = {
+            "pauses": node.pauses.run,
             "registration": node.registration.run,
             "discovery": node.discovery.run,
             "settings": partial(_watch_settings, node, reload),
--- a/goldcresthoist/node/serving.py
+++ b/goldcresthoist/node/serving.py
@@ -51,6 +51,7 @@
         Has ``event(name, **fields)``.
     transfers : TransferBudget
         Memory for responses that are buffered completely.
+    pauses : PauseDetector
 
     Attributes
     ----------
@@ -65,7 +66,7 @@
         Calls that hold a slot and are being executed.
     """
 
-    def __init__(self, own, pool, suspects, counters, log, transfers):
+    def __init__(self, own, pool, suspects, counters, log, transfers, pauses):
         self.own = own
         self.pool = pool
         pool.on_change = self._on_pool_change
@@ -73,6 +74,7 @@
         self.counters = counters
         self.log = log
         self.transfers = transfers
+        self.pauses = pauses
         self.queue = SlotQueue()
         self.queue.on_knee_verdict = self._on_local_knee_verdict
         self.probe = PaceProbe(self, counters, log)
@@ -213,14 +215,19 @@
         )
         if reason is None and crashes >= MAX_CRASHES:
             reason = "crash-suspect"
+        # The message may have arrived during a pause of this process.
+        sent_at = now - self.pauses.input_age_s()
+        deadline = sent_at + message.time_left_us / 1e6
+        if reason is None and deadline <= now:
+            reason = "deadline"
         if reason is not None:
             self._refuse(call, reason, 0.0)
             return
         slot_call = SlotCall(
             message.work,
             message.priority,
-            now + message.time_left_us / 1e6,
-            now + message.soft_deadline_us / 1e6,
+            deadline,
+            sent_at + message.soft_deadline_us / 1e6,
             message.alternatives,
         )
         try:
--- a/goldcresthoist/node/tests/test_pace_probe.py
+++ b/goldcresthoist/node/tests/test_pace_probe.py
@@ -11,6 +11,7 @@
 from goldcresthoist.node.serving import UpstreamServer
 from goldcresthoist.node.transfers import TransferBudget
 from goldcresthoist.node.upstream_run import make_connection
+from goldcresthoist.pauses import PauseDetector
 from goldcresthoist.tests.standins.platform_target import PlatformTarget
 from goldcresthoist.upstreams import ConnectionPool
 
@@ -28,7 +29,13 @@
         own = LocalUpstream(address, "ledger")
         self.log = FakeLog()
         self.server = UpstreamServer(
-            own, self.pool, CrashSuspects(), FakeCounters(), self.log, TransferBudget(0)
+            own,
+            self.pool,
+            CrashSuspects(),
+            FakeCounters(),
+            self.log,
+            TransferBudget(0),
+            PauseDetector(),
         )
         self.probe = self.server.probe
         self.probe.health_path = lambda: "/health"
--- a/goldcresthoist/node/tests/test_serving.py
+++ b/goldcresthoist/node/tests/test_serving.py
@@ -10,6 +10,7 @@
 from goldcresthoist.node.serving import UpstreamServer
 from goldcresthoist.node.tests.builders import make_announcement
 from goldcresthoist.node.transfers import TransferBudget
+from goldcresthoist.pauses import PauseDetector
 
 
 class FakePool:
@@ -54,6 +55,7 @@
     async def asyncSetUp(self):
         self.own = LocalUpstream("10.0.0.1:8000", "ledger")
         self.pool = FakePool()
+        self.boot_time = 100.0
         self.server = UpstreamServer(
             self.own,
             self.pool,
@@ -61,6 +63,7 @@
             FakeCounters(),
             FakeLog(),
             TransferBudget(0),
+            PauseDetector(lambda: self.boot_time),
         )
         self.own.apply_announcement(make_announcement(), 0.0)
         self.server.upstream_changed(True)
@@ -84,6 +87,22 @@
             self.server.queue.pace.record(reported, monotonic())
             self.assertEqual(self.server.load_report().pace, expected)
 
+    async def test_call_that_arrived_in_a_pause_keeps_its_deadline(self):
+        """Guards against a frozen daemon that runs a call after its time was over.
+
+        The time left in the message counts from its arrival in the socket, and the
+        entry daemon has given the call up meanwhile. Calls have 2 s here.
+        """
+        self.boot_time += 1.5
+        call = self.begin()
+        self.assertIsNone(call.refused)
+        left_s = call.begin_result.slot_call.deadline - monotonic()
+        self.assertAlmostEqual(left_s, 0.5, delta=0.1)
+        self.boot_time += 2.5
+        self.assertEqual(self.begin().refused, "deadline")
+        self.boot_time += 0.1
+        self.assertIsNone(self.begin().refused)
+
     async def test_call_for_another_service_is_refused(self):
         """Guards against a call that is executed by the wrong service.
 
@@ -146,6 +165,7 @@
             FakeCounters(),
             FakeLog(),
             TransferBudget(0),
+            PauseDetector(lambda: self.boot_time),
         )
         other.restore_knee()
         self.assertTrue(other.queue.knee.confirmed)
--- a/goldcresthoist/node/upstream_run.py
+++ b/goldcresthoist/node/upstream_run.py
@@ -198,7 +198,7 @@
         server = self.server
         call = self.call
         message = call.open
-        reason = server.refusal_reason()
+        reason = self._refusal_reason()
         if reason is not None:
             call.refuse(reason, reason, server.load_report())
             return False
@@ -210,7 +210,7 @@
         except UpstreamUnreachable as exc:
             call.refuse("no-upstream", str(exc), server.load_report())
             return False
-        reason = server.refusal_reason()
+        reason = self._refusal_reason()
         if reason is not None:
             call.refuse(reason, reason, server.load_report())
             return False
@@ -222,6 +222,12 @@
             return False
         return await self._relay_answer(answer, fields)
 
+    def _refusal_reason(self):
+        """Return why the call must not be sent to the upstream, or None."""
+        if monotonic() >= self.slot_call.deadline:
+            return "deadline"
+        return self.server.refusal_reason()
+
     def _send_request(self, message):
         own = self.server.own
         time_left_ms = max(1, int((self.slot_call.deadline - monotonic()) * 1000))
