Retry a failed request also after many refusals

Change: after a failure, offers are allowed again, and only the upstreams that failed are left out. The token of a retry that finds no upstream is given back.

RetryTest fails without the change.

--- a/goldcresthoist/node/request.py
+++ b/goldcresthoist/node/request.py
@@ -22,6 +22,8 @@
 MAX_PREFIX_BYTES = 8 * 1024
 # Largest number of offers of one request before it is refused.
 MAX_OFFERS = 5
+# Number of offers that are left to a retry at least.
+RETRY_OFFERS = 3
 # Delay before a hedge is sent: this share of the route's ``aim_s``, but at least
 # `HEDGE_DELAY_RATIO` times the usual time of the work.
 HEDGE_DELAY_SHARE = 0.45
@@ -111,7 +113,10 @@
     outcome : str
         Value of the ``outcome`` label in the metrics and in the log.
     exclude : list of UpstreamView
-        Upstreams that the request was already offered to.
+        Upstreams that the request was already offered to; after a failure only
+        `failed_views`.
+    failed_views : list of UpstreamView
+        Upstreams at which the request failed, or that refused it themselves.
     decisions : list of dict
         Offers and their results, for the log.
     """
@@ -128,6 +133,7 @@
         "entry",
         "exchange",
         "exclude",
+        "failed_views",
         "fields",
         "fingerprint",
         "first_sent",
@@ -179,6 +185,7 @@
         self.fingerprint = b""
         self.crash_count = 0
         self.exclude = []
+        self.failed_views = []
         self.attempts = []
         self.unanswered = set()
         self.offers = 0
@@ -512,14 +519,29 @@
             return None
         if self.crash_count >= MAX_RETRIED_CRASHES:
             return None
+        self._renew_offers()
         if not self._count_alternatives(now):
             return None
         if not self.service.budget.try_take():
             self.entry.counters.add("retries_denied")
             self.decisions.append({"retry": "denied", "reason": _outcome_code(outcome)})
             return None
-        self.entry.counters.add("retries", reason=_outcome_code(outcome))
-        return self._offer()
+        retry = self._offer()
+        if retry is None:
+            self.service.budget.refund()
+        else:
+            self.entry.counters.add("retries", reason=_outcome_code(outcome))
+        return retry
+
+    def _renew_offers(self):
+        """Allow offers again after a failure, also to upstreams that refused before.
+
+        Under load a request is refused several times before it runs, which must not
+        take the place of a retry.
+        """
+        self.exclude = list(self.failed_views)
+        self.offers = min(self.offers, MAX_OFFERS - RETRY_OFFERS)
+        self.is_last_offer = False
 
     def _record_unsuccessful(self, attempt, outcome):
         """Record an outcome that is not final, and end its attempt."""
@@ -539,6 +561,7 @@
                 attempt.end(Outcome.FAILED, outcome.load)
             case Refuse():
                 if outcome.code == "upstream-refused":
+                    self.failed_views.append(attempt.view)
                     self.upstream_attempts += 1
                 elif attempt.hedge:
                     self.service.budget.refund()
@@ -547,16 +570,12 @@
                 )
                 attempt.end(Outcome.REFUSED, outcome.load)
             case Failed(kind=FailureKind.CRASHED):
+                self.failed_views.append(attempt.view)
                 self.upstream_attempts += 1
                 self.crash_count = max(outcome.crash_count, self.crash_count + 1)
                 attempt.end(Outcome.FAILED, outcome.load)
-            case Failed(kind=FailureKind.TIMED_OUT):
-                self.upstream_attempts += 1
-                attempt.end(Outcome.FAILED, outcome.load)
-            case Failed():
-                self.upstream_attempts += 1
-                attempt.end(Outcome.FAILED, outcome.load)
-            case Head():
+            case Failed() | Head():
+                self.failed_views.append(attempt.view)
                 self.upstream_attempts += 1
                 attempt.end(Outcome.FAILED, outcome.load)
 
--- a/goldcresthoist/node/tests/test_request.py
+++ b/goldcresthoist/node/tests/test_request.py
@@ -6,19 +6,41 @@
 
 from goldcresthoist.balance import SharedRetryBudget
 from goldcresthoist.fleet.tests.builders import FakeCounters
-from goldcresthoist.node.request import EntryRequest
+from goldcresthoist.links.frames import Failed, FailureKind
+from goldcresthoist.node.request import MAX_OFFERS, EntryRequest
 
 
 class FakeServices:
-    """Reports one alternative, but has no upstream when one is to be chosen."""
+    """Reports one alternative, but has no upstream when one is to be chosen.
+
+    Attributes
+    ----------
+    excluded : list
+        The upstreams excluded from each choice.
+    """
+
+    def __init__(self):
+        self.excluded = []
 
     def count_alternatives(self, service, now, exclude):
         """Return that one upstream is left."""
         return 1
 
-    def choose(self, *arguments):
+    def choose(self, service, rule, now, exclude, size):
         """Return None, as when no upstream can be called."""
-        return
+        self.excluded.append(list(exclude))
+
+
+class FakeAttempt:
+    """Attempt at an upstream of its own."""
+
+    hedge = False
+
+    def __init__(self):
+        self.view = SimpleNamespace(instance="broken")
+
+    def end(self, outcome, load):
+        """Ignore the end."""
 
 
 def make_request():
@@ -26,7 +48,8 @@
     request = object.__new__(EntryRequest)
     request.entry = SimpleNamespace(services=FakeServices(), counters=FakeCounters())
     request.state = SimpleNamespace(
-        route=SimpleNamespace(max_attempts=3, large_responses=False), response_bytes=0
+        route=SimpleNamespace(max_attempts=3, large_responses=False, repeatable=True),
+        response_bytes=0,
     )
     request.service = SimpleNamespace(
         name="listen", budget=SharedRetryBudget(0.2, 58.0)
@@ -36,6 +59,12 @@
     request.deadline = monotonic() + 2.0
     request.prefix = b""
     request.exclude = []
+    request.failed_views = []
+    request.decisions = []
+    request.unanswered = set()
+    request.arrived = monotonic()
+    request.body_started = False
+    request.crash_count = request.reserved_bytes = 0
     request.upstream_attempts = request.offers = 0
     request.is_last_offer = False
     return request
@@ -55,5 +84,24 @@
         self.assertEqual(request.entry.counters.total("hedges"), 0)
 
 
+class RetryTest(unittest.IsolatedAsyncioTestCase):
+    async def test_refusals_do_not_take_the_place_of_a_retry(self):
+        """Guards against a repeatable request that fails at its first upstream.
+
+        In inc-6f2b of sdnp-mesh, lookups that were refused by four daemons before one
+        ran them were not tried again when its upstream closed the connection: 52 of
+        them failed so.
+        """
+        request = make_request()
+        attempt = FakeAttempt()
+        request.offers = MAX_OFFERS
+        request.exclude = ["full"] * 4 + [attempt.view]
+        before = request.service.budget.available()
+        failure = Failed(1, FailureKind.BROKEN, "closed", None)
+        self.assertIsNone(await request._start_retry(attempt, failure))
+        self.assertEqual(request.entry.services.excluded, [[attempt.view]])
+        self.assertEqual(request.service.budget.available(), before)
+
+
 if __name__ == "__main__":
     unittest.main()
