Drop late second copies on the own interface; show no misspelt secret

Report of other operators: a late second copy of an answer reached the next caller. On the platform the request id tells it. On the own interface it could happen when the copy came after the next request was sent. Upstreams that repeat goldcrest-request-id in their responses are now protected: a response with another id is dropped.

A misspelt secret key was printed with its value, and so was a document that is no mapping; neither value is shown now.

A retry after many refusals is made only when it can be in time.

--- a/goldcresthoist/config/_yaml_documents.py
+++ b/goldcresthoist/config/_yaml_documents.py
@@ -59,7 +59,8 @@
         problem = getattr(exc, "problem", None) or "cannot be parsed"
         raise error(f"{source}:{line} not valid YAML: {problem}") from exc
     if not isinstance(document, dict):
-        raise error(f"{source}: expected a mapping of keys, got {document!r}")
+        kind = type(document).__name__
+        raise error(f"{source}: expected a mapping of keys, got {kind}")
     return document
 
 
@@ -88,10 +89,8 @@
     reason = match["reason"]
     path = match["path"] or "$"
     if unknown := _UNKNOWN_FIELD.search(reason):
-        parent = _value_at(document, path)
-        name = unknown["name"]
-        value = parent.get(name) if isinstance(parent, dict) else None
-        return f"key {_join_path(path, name)} = {value!r}: unknown key"
+        # The key may be a misspelt secret, so its value is not shown.
+        return f"key {_join_path(path, unknown['name'])} (value not shown): unknown key"
     if missing := _MISSING_FIELD.search(reason):
         return f"key {_join_path(path, missing['name'])} is missing"
     key = path.removeprefix("$").lstrip(".") or "(document)"
--- a/goldcresthoist/config/tests/test_questionnaire.py
+++ b/goldcresthoist/config/tests/test_questionnaire.py
@@ -208,3 +208,18 @@
             Settings.from_document(document, "s.yaml")
         self.assertIn("shared_key", str(caught.exception))
         self.assertNotIn("not-hex-but-secret", str(caught.exception))
+
+    def test_misspelt_secret_is_not_shown(self):
+        """Guards against a secret in a log because its key was misspelt."""
+        document = yaml.safe_load((EXAMPLES / "settings.yaml").read_text())
+        document["secret_kye"] = "very-secret"
+        with self.assertRaises(InvalidSetting) as caught:
+            Settings.from_document(document, "s.yaml")
+        self.assertIn("secret_kye", str(caught.exception))
+        self.assertNotIn("very-secret", str(caught.exception))
+
+    def test_document_that_is_no_mapping_is_not_shown(self):
+        """Guards against a settings file of another kind that is written to a log."""
+        with self.assertRaises(InvalidAnswer) as caught:
+            Questionnaire.from_text("- secret_key=very-secret")
+        self.assertNotIn("very-secret", str(caught.exception))
--- a/goldcresthoist/daemon/assembly.py
+++ b/goldcresthoist/daemon/assembly.py
@@ -36,7 +36,7 @@
 from goldcresthoist.operators.ledger_operations import LedgerOperations
 from goldcresthoist.table import TableClient
 from goldcresthoist.telemetry import Counters, log_event
-from goldcresthoist.upstreams import ConnectionPool
+from goldcresthoist.upstreams import ConnectionPool, make_echoed_id_connection
 
 __all__ = ["Daemon"]
 
@@ -87,7 +87,10 @@
     def _build_call_path(self):
         settings = self.settings
         policy = get_policy(settings.policy)
-        self.upstream = ConnectionPool(*split_address(settings.upstream_address))
+        self.upstream = ConnectionPool(
+            *split_address(settings.upstream_address),
+            make_connection=make_echoed_id_connection,
+        )
         self.server = CallServer(
             settings.service,
             settings.instance,
--- a/goldcresthoist/daemon/tests/test_routing.py
+++ b/goldcresthoist/daemon/tests/test_routing.py
@@ -204,6 +204,21 @@
         self.assertEqual((answer.status, answer.code), (504, "deadline-exceeded"))
         self.assertEqual(answer.outcome, "not-run")
 
+    async def test_late_second_copy_is_not_the_next_answer(self):
+        """Guards against a caller that gets the response to another request.
+
+        The upstream sends a response again when the connection is in use by the next
+        request, whose own response takes longer.
+        """
+        entry, (upstream,) = await self.start_path()
+        caller = await self.caller(entry)
+        for number in range(3):
+            target = f"/items/{number}?repeat_ms=60"
+            await caller.call("GET", f"/lookup{target}")
+            target = f"/items/next-{number}?ms=150&repeat_ms=60000"
+            answer = await caller.call("GET", f"/lookup{target}")
+            self.assertEqual(answer.json()["target"], target)
+
     async def test_disconnect_of_the_caller_cancels_the_call(self):
         entry, (upstream,) = await self.start_path()
         counts = upstream.standin.counts
--- a/goldcresthoist/daemon/upload_runner.py
+++ b/goldcresthoist/daemon/upload_runner.py
@@ -7,10 +7,16 @@
 
 from goldcresthoist.daemon.at_most_once import AtMostOnceRunner
 from goldcresthoist.daemon.operation_decisions import decision_for
+from goldcresthoist.http_fields import header_value
 from goldcresthoist.objects import ObjectsError
 from goldcresthoist.operations import MissingPart
 from goldcresthoist.table import TableError
-from goldcresthoist.upstreams import RequestWriter, UpstreamBroken, UpstreamError
+from goldcresthoist.upstreams import (
+    REQUEST_ID_FIELD,
+    RequestWriter,
+    UpstreamBroken,
+    UpstreamError,
+)
 
 __all__ = ["UploadRunner"]
 
@@ -61,6 +67,7 @@
         upstream_call.server.active_calls.add(upstream_call)
         time_left_s = upstream_call.deadline - monotonic()
         writer = RequestWriter(message, max(1, int(time_left_s * 1000)))
+        connection.expect(header_value(message.headers, REQUEST_ID_FIELD))
         connection.send(writer.start(), False)
         if length:
             chunks = self.receiver.body(token)
--- a/goldcresthoist/daemon/upstream_call.py
+++ b/goldcresthoist/daemon/upstream_call.py
@@ -4,10 +4,11 @@
 from time import monotonic
 
 from goldcresthoist.daemon.kinds import FAILURE_STATUSES
-from goldcresthoist.http_fields import end_to_end_headers
+from goldcresthoist.http_fields import end_to_end_headers, header_value
 from goldcresthoist.links.errors import LinkError
 from goldcresthoist.links.frames import MAX_BODY_FRAME_BYTES, FailureKind
 from goldcresthoist.upstreams import (
+    REQUEST_ID_FIELD,
     RequestWriter,
     UpstreamError,
     UpstreamTimedOut,
@@ -141,6 +142,7 @@
         self.server.active_calls.add(self)
         time_left_s = self.deadline - monotonic()
         writer = RequestWriter(message, max(1, int(time_left_s * 1000)))
+        self.connection.expect(header_value(message.headers, REQUEST_ID_FIELD))
         self.connection.send(writer.start(), message.method == "HEAD")
         if not message.end:
             self.call.admit()
--- a/goldcresthoist/node/request.py
+++ b/goldcresthoist/node/request.py
@@ -519,7 +519,8 @@
             return None
         if self.crash_count >= MAX_RETRIED_CRASHES:
             return None
-        self._renew_offers()
+        if now + self.rule.usual_s <= self.soft_deadline:
+            self._renew_offers()
         if not self._count_alternatives(now):
             return None
         if not self.service.budget.try_take():
@@ -537,7 +538,7 @@
         """Allow offers again after a failure, also to upstreams that refused before.
 
         Under load a request is refused several times before it runs, which must not
-        take the place of a retry.
+        take the place of a retry that can be in time.
         """
         self.exclude = list(self.failed_views)
         self.offers = min(self.offers, MAX_OFFERS - RETRY_OFFERS)
--- a/goldcresthoist/node/tests/test_request.py
+++ b/goldcresthoist/node/tests/test_request.py
@@ -48,7 +48,9 @@
     request = object.__new__(EntryRequest)
     request.entry = SimpleNamespace(services=FakeServices(), counters=FakeCounters())
     request.state = SimpleNamespace(
-        route=SimpleNamespace(max_attempts=3, large_responses=False, repeatable=True),
+        route=SimpleNamespace(
+            max_attempts=3, large_responses=False, repeatable=True, aim_s=0.5
+        ),
         response_bytes=0,
     )
     request.service = SimpleNamespace(
@@ -62,7 +64,7 @@
     request.failed_views = []
     request.decisions = []
     request.unanswered = set()
-    request.arrived = monotonic()
+    request.arrived = request.first_sent = monotonic()
     request.body_started = False
     request.crash_count = request.reserved_bytes = 0
     request.upstream_attempts = request.offers = 0
@@ -102,6 +104,15 @@
         self.assertEqual(request.entry.services.excluded, [[attempt.view]])
         self.assertEqual(request.service.budget.available(), before)
 
+    async def test_late_retry_takes_no_further_offers(self):
+        """Guards against retries that take slots from requests that can be in time."""
+        request = make_request()
+        request.first_sent -= 0.45
+        request.offers = MAX_OFFERS
+        failure = Failed(1, FailureKind.BROKEN, "closed", None)
+        await request._start_retry(FakeAttempt(), failure)
+        self.assertEqual(request.offers, MAX_OFFERS)
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/goldcresthoist/tests/pathnode.py
+++ b/goldcresthoist/tests/pathnode.py
@@ -31,7 +31,7 @@
     FixedDirectory,
     PlainCounters,
 )
-from goldcresthoist.upstreams import ConnectionPool
+from goldcresthoist.upstreams import ConnectionPool, make_echoed_id_connection
 
 __all__ = ["NodePlan", "PathNode"]
 
@@ -82,7 +82,10 @@
         policy = get_policy(plan.policy)
         self.chooser = Chooser(policy)
         self.links = LinkPool(member.instance, SHARED_KEY, self.counters)
-        self.upstream = ConnectionPool(*split_address(plan.upstream_address))
+        self.upstream = ConnectionPool(
+            *split_address(plan.upstream_address),
+            make_connection=make_echoed_id_connection,
+        )
         self.server = CallServer(
             member.service,
             member.instance,
--- a/goldcresthoist/tests/standins/upstream.py
+++ b/goldcresthoist/tests/standins/upstream.py
@@ -10,7 +10,9 @@
 - ``fault``: ``crash`` (the process ends), ``close`` (no response), ``truncate``,
   ``longer`` (more bytes after the response), ``garbage`` (not HTTP), ``no-length``,
   ``conflict`` (ambiguous framing), ``early`` (responds before the body is received),
-  ``reset-body`` (closes the connection while the body is received).
+  ``reset-body`` (closes the connection while the body is received);
+- ``repeat_ms``: repeat the id of the request in the response, and send the response a
+  second time after that many milliseconds.
 
 ``POST /-/faults`` sets faults for all requests as JSON: ``delay_ms``, ``status``,
 ``fault`` and ``crash_on`` (a text; a request whose target contains it ends the
@@ -221,8 +223,19 @@
             return
         else:
             body = self._request_description(request)
+        if "repeat_ms" in request.options:
+            self._respond_twice(request, status, body)
+            return
         self._write_head(status, len(body), b"" if request.method == "HEAD" else body)
 
+    def _respond_twice(self, request, status, body):
+        name = "goldcrest-request-id"
+        head = f"HTTP/1.1 {status} Stand-in\r\n{name}: {request.headers.get(name)}\r\n"
+        data = f"{head}Content-Length: {len(body)}\r\n\r\n".encode() + body
+        self.transport.write(data)
+        delay_s = float(request.options["repeat_ms"]) / 1000.0
+        asyncio.get_running_loop().call_later(delay_s, self.transport.write, data)
+
     async def _stream(self, status, request):
         remaining = int(request.options["size"])
         chunked = "chunked" in request.options
--- a/goldcresthoist/upstreams/__init__.py
+++ b/goldcresthoist/upstreams/__init__.py
@@ -13,10 +13,15 @@
     UpstreamUnreachable,
 )
 from goldcresthoist.upstreams.pool import ConnectionPool
-from goldcresthoist.upstreams.request_id_connection import RequestIdConnection
+from goldcresthoist.upstreams.request_id_connection import (
+    REQUEST_ID_FIELD,
+    RequestIdConnection,
+    make_echoed_id_connection,
+)
 
 __all__ = [
     "ConnectionPool",
+    "REQUEST_ID_FIELD",
     "RequestIdConnection",
     "RequestWriter",
     "UpstreamResponse",
@@ -26,5 +31,6 @@
     "UpstreamError",
     "UpstreamTimedOut",
     "UpstreamUnreachable",
+    "make_echoed_id_connection",
     "send_remaining_body",
 ]
--- a/goldcresthoist/upstreams/connection.py
+++ b/goldcresthoist/upstreams/connection.py
@@ -121,6 +121,9 @@
         """
         return not self.closed and self.reusable and not self.poller.poll(0)
 
+    def expect(self, request_id):
+        """Set the id of the next request, for connections that check it."""
+
     def send(self, data, is_head_request):
         """Start an exchange: send a request head with the first body bytes.
 
--- a/goldcresthoist/upstreams/request_id_connection.py
+++ b/goldcresthoist/upstreams/request_id_connection.py
@@ -4,8 +4,9 @@
 from goldcresthoist.upstreams.connection import UpstreamConnection
 from goldcresthoist.upstreams.errors import UpstreamBroken
 
-__all__ = ["RequestIdConnection"]
+__all__ = ["EchoedIdConnection", "RequestIdConnection", "make_echoed_id_connection"]
 
+REQUEST_ID_FIELD = b"goldcrest-request-id"
 # An upstream may send a second response to an earlier request. After more than this
 # many for one request, the connection is closed, as its state is unknown.
 MAX_UNMATCHED_RESPONSES = 4
@@ -60,6 +61,10 @@
         self.unmatched_bytes = 0
         self.close_delimited = False
 
+    def matches(self, request_id):
+        """Return whether a response with this id, or None, is for the request."""
+        return request_id == self.request_id
+
     def on_header(self, name, value):
         """Add one header, unless the response is dropped."""
         if not self.skipping:
@@ -70,7 +75,7 @@
         if self.complete or self.skipping:
             return
         status = self.parser.get_status_code()
-        if status >= 200 and self.identify(self.answer.headers) != self.request_id:
+        if status >= 200 and not self.matches(self.identify(self.answer.headers)):
             self._skip_response()
             return
         super().on_headers_complete()
@@ -118,3 +123,26 @@
             self.reusable = False
             return
         super()._check_framing()
+
+
+class EchoedIdConnection(RequestIdConnection):
+    """Drops a response with the id of another request; one without an id is accepted.
+
+    A late second response to an earlier request arrives on a connection that is in use
+    again. It can be told only if the upstream repeats the id of the request. Every
+    response must state its length.
+    """
+
+    def matches(self, request_id):
+        """Return whether a response with this id, or None, is for the request."""
+        return request_id is None or super().matches(request_id)
+
+    def _check_framing(self):
+        UpstreamConnection._check_framing(self)
+
+
+def make_echoed_id_connection(on_lost):
+    """Return a connection for upstreams that may repeat `REQUEST_ID_FIELD`."""
+    return EchoedIdConnection(
+        on_lost, lambda headers: header_value(headers, REQUEST_ID_FIELD)
+    )
