Mend three faults of the own interface found by reading

- gossip: a datagram of an unknown sender was accepted every second time it was replayed, because the replay that was detected discarded the sender's state.
- balance: an upstream restored by a trial call and by a load report was subtracted twice from the ejected ones, so that more than half could be ejected.
- balance: a service without a queue raised ValueError for each call that found all slots taken.

--- a/goldcresthoist/balance/_outliers.py
+++ b/goldcresthoist/balance/_outliers.py
@@ -96,10 +96,11 @@
 
 
 def _restore(view, now):
+    # A trial call and a report may both restore the same upstream.
+    if view.pool is not None and view.ejections:
+        view.pool.ejected -= 1
     view.ejections = 0
     view.consecutive_failures = 0
     view.ejected_until = 0.0
     # A restored upstream goes through a slow start, as a new one does.
     view.slow_start_at = now
-    if view.pool is not None:
-        view.pool.ejected -= 1
--- a/goldcresthoist/balance/admission.py
+++ b/goldcresthoist/balance/admission.py
@@ -311,6 +311,8 @@
             False if no queue with waiting calls is less valuable than this one.
         """
         waiting = [other for other in self.work_queues.values() if other.waiters]
+        if not waiting:
+            return False
         least_valuable = min(waiting, key=lambda other: other.value_rate)
         if least_valuable.value_rate >= queue.value_rate:
             return False
--- a/goldcresthoist/balance/tests/test_admission.py
+++ b/goldcresthoist/balance/tests/test_admission.py
@@ -26,6 +26,15 @@
     return slots
 
 
+class NoQueueTest(unittest.IsolatedAsyncioTestCase):
+    async def test_full_upstream_without_a_queue_refuses(self):
+        """Guards against an error for each call that finds all slots taken."""
+        admission = make_admission(queue_limit=0)
+        acquire_free(admission, LONG, 8)
+        with self.assertRaises(Saturated):
+            await admission.acquire(LONG, FAR_DEADLINE, 0.0)
+
+
 class AdmissionSlotsTest(unittest.TestCase):
     """Guards against long work that takes the slots reserved for short work.
 
--- a/goldcresthoist/balance/tests/test_chooser.py
+++ b/goldcresthoist/balance/tests/test_chooser.py
@@ -217,6 +217,19 @@
             self.chooser.choose(self.pool, SHORT, AFTER_SLOW_START, ())
         )
 
+    def test_trial_and_report_restore_an_upstream_once(self):
+        """Guards against more ejections than the cap allows.
+
+        The count of ejected upstreams fell by two for one of them.
+        """
+        now = AFTER_SLOW_START
+        self.chooser.record_load(self.failing_view, make_load(failing=True), now)
+        self.assertEqual(self.pool.ejected, 1)
+        self.failing_view.trial_running = True
+        record_calls(self.chooser, self.failing_view, Outcome.SUCCEEDED, now)
+        self.chooser.record_load(self.failing_view, make_load(), now)
+        self.assertEqual(self.pool.ejected, 0)
+
     def test_failing_upstream_that_may_not_be_ejected_is_tried_again(self):
         """Guards against a failing upstream that is avoided for good.
 
--- a/goldcresthoist/gossip/exchange.py
+++ b/goldcresthoist/gossip/exchange.py
@@ -211,7 +211,10 @@
 
     def _check_unknown_sender(self, packet):
         key = key_of(packet.sender)
-        seen = check_sequence(packet.sequence, *self.unknown_senders.pop(key, (0, 0)))
+        known = self.unknown_senders.get(key, (0, 0))
+        # If this raises, the state stays, so that the next replay is detected too.
+        seen = check_sequence(packet.sequence, *known)
+        self.unknown_senders.pop(key, None)
         if len(self.unknown_senders) >= MAX_UNKNOWN_SENDERS:
             del self.unknown_senders[next(iter(self.unknown_senders))]
         self.unknown_senders[key] = seen
--- a/goldcresthoist/gossip/tests/test_datagrams.py
+++ b/goldcresthoist/gossip/tests/test_datagrams.py
@@ -4,6 +4,8 @@
 import random
 import unittest
 
+import msgspec
+
 from goldcresthoist.gossip import MemberState
 from goldcresthoist.gossip.envelope import WINDOW, Sealer, check_sequence
 from goldcresthoist.gossip.errors import Replayed
@@ -80,6 +82,19 @@
             self._deliver(node, mac + body)
         self.assertEqual(node.datagrams_dropped, len(bodies))
 
+    @virtual_time
+    async def test_replay_of_an_unknown_sender_is_dropped_each_time(self):
+        """Guards against a replay that is accepted every second time.
+
+        The state of the sender was discarded with the replay that it had revealed.
+        """
+        _, node, packet = await self._cluster()
+        packet = msgspec.structs.replace(packet, sender="stranger", sequence=7)
+        data = Sealer(SHARED_KEY).seal(packet, node.exchange.address)
+        for _ in range(5):
+            self._deliver(node, data)
+        self.assertEqual(node.datagrams_dropped, 4)
+
     @virtual_time
     async def test_replayed_datagrams_are_dropped(self):
         cluster, node, _ = await self._cluster()
