--- a/goldcresthoist/balance/shared_budget.py
+++ b/goldcresthoist/balance/shared_budget.py
@@ -29,17 +29,23 @@
     """
 
     def __init__(self, share, reserve):
-        self.share = USED_SHARE * share
-        self.reserve = USED_RESERVE * reserve
         self.daemons = 1
         # None until the first change: the bucket is then full, whatever its capacity.
         self.tokens = None
+        self.set_limits(share, reserve)
 
     @property
     def capacity(self):
         """Largest number of tokens in the bucket."""
         return max(1.0, self.reserve / max(1, self.daemons))
 
+    def set_limits(self, share, reserve):
+        """Replace the limits; the parameters are those of the class."""
+        self.share = USED_SHARE * share
+        self.reserve = USED_RESERVE * reserve
+        if self.tokens is not None:
+            self.tokens = min(self.tokens, self.capacity)
+
     def set_daemon_count(self, count):
         """Set how many daemons share the limit."""
         self.daemons = count
--- a/goldcresthoist/links/pool.py
+++ b/goldcresthoist/links/pool.py
@@ -14,6 +14,8 @@
 # of links stays within its budget for control traffic. At 20 pings per second, pings
 # and pongs take about 6 KB per second, including packet headers.
 IDLE_PINGS_PER_S = 20.0
+# Links are pinged at least this often, or the other end closes them as silent.
+MAX_PING_INTERVAL_S = 12.0
 # Time without a response to a ping after which the peer gets no new calls.
 UNRESPONSIVE_AFTER_S = 1.0
 # Time without a response to a ping after which the link is closed. Its calls then fail,
@@ -106,7 +108,8 @@
     def _ping_interval_s(self):
         if self.link.calls:
             return PING_INTERVAL_S
-        return max(PING_INTERVAL_S, len(self.pool.peers) / IDLE_PINGS_PER_S)
+        interval_s = len(self.pool.peers) / IDLE_PINGS_PER_S
+        return min(MAX_PING_INTERVAL_S, max(PING_INTERVAL_S, interval_s))
 
     def _backoff_s(self):
         limit = min(BACKOFF_MAX_S, BACKOFF_MIN_S * 2 ** min(self.failed_attempts, 10))
--- a/goldcresthoist/links/tests/test_links.py
+++ b/goldcresthoist/links/tests/test_links.py
@@ -2,8 +2,10 @@
 
 import asyncio
 import unittest
+from types import SimpleNamespace
 
 from goldcresthoist.links import CallFailed, LinkClosed, LinkError
+from goldcresthoist.links.acceptor import SILENCE_TIMEOUT_S
 from goldcresthoist.links.frames import (
     MAX_BODY_FRAME_BYTES,
     STREAM_CREDIT_BYTES,
@@ -14,6 +16,7 @@
     Refuse,
     encode_frame,
 )
+from goldcresthoist.links.pool import PeerLink
 from goldcresthoist.links.tests.builders import LinkTestCase, make_open
 from goldcresthoist.tests.cluster import eventually
 
@@ -147,6 +150,17 @@
 class LivenessTest(LinkTestCase):
     """Guards against new calls to peers that are lost, frozen or draining."""
 
+    def test_idle_links_of_a_large_fleet_are_not_taken_for_silent(self):
+        """Guards against links that the other end closes between two pings.
+
+        The interval grows with the number of links: it was over 30 s from 600 on.
+        """
+        peer = object.__new__(PeerLink)
+        peer.link = SimpleNamespace(calls={})
+        for count in (10, 195, 2000):
+            peer.pool = SimpleNamespace(peers=range(count))
+            self.assertLess(peer._ping_interval_s(), SILENCE_TIMEOUT_S / 2)
+
     async def test_silence_counts_from_the_first_unanswered_ping(self):
         link = await self.open_link()
         (peer,) = self.server.links
--- a/goldcresthoist/node/assembly.py
+++ b/goldcresthoist/node/assembly.py
@@ -225,13 +225,12 @@
         These are the bounds and the service. Changed addresses and ports take effect
         only after a restart.
         """
-        self.services.bounds = settings.bounds
-        if settings.service == self.settings.service:
-            return
-        self.log.event(
-            "service changed", was=self.settings.service, now=settings.service
-        )
+        earlier = self.settings
         self.settings = settings
+        self.services.set_bounds(settings.bounds)
+        if settings.service == earlier.service:
+            return
+        self.log.event("service changed", was=earlier.service, now=settings.service)
         self.own.service = settings.service
         self.entry.caller_service = settings.service.encode()
         self.record = msgspec.structs.replace(
--- a/goldcresthoist/node/services.py
+++ b/goldcresthoist/node/services.py
@@ -168,6 +168,12 @@
                 _LinkTarget(record.ip, self.link_port), self._make_load_recorder(view)
             )
 
+    def set_bounds(self, bounds):
+        """Replace the bounds, also those of the retry budgets in use."""
+        self.bounds = bounds
+        for service in self.services.values():
+            service.budget.set_limits(bounds.retry_share, bounds.retry_reserve)
+
     def service(self, name):
         """Return the `ServiceState` of that name; it is created on first use."""
         found = self.services.get(name)
--- a/goldcresthoist/node/tests/test_services.py
+++ b/goldcresthoist/node/tests/test_services.py
@@ -58,6 +58,13 @@
         found = [view.link_s_per_byte for _, view in services.views.values()]
         self.assertEqual(found, [0.0, 1e-6, 8e-8, 0.0])
 
+    def test_changed_bounds_apply_to_budgets_in_use(self):
+        """Guards against bounds that take effect only after a restart."""
+        budget = self.services.service("listen").budget
+        before = budget.capacity
+        self.services.set_bounds(Bounds(retry_reserve=10 * Bounds().retry_reserve))
+        self.assertAlmostEqual(budget.capacity, 10 * before)
+
     def test_usual_size_of_responses_is_learned(self):
         """Guards against a choice of upstream that ignores what the response costs."""
         route = decode_configuration(CONFIGURATION).routes[0]
--- a/goldcresthoist/upstreams/connection.py
+++ b/goldcresthoist/upstreams/connection.py
@@ -220,7 +220,9 @@
         ) as exc:
             self._fail(UpstreamBroken(f"the response is not valid HTTP/1.1: {exc}"))
             return
-        if not self.meter.end_read(len(data)):
+        within_limit = self.meter.end_read(len(data))
+        # Bytes after a complete response belong to no request and do not spoil it.
+        if not within_limit and not self.complete:
             limit = self.meter.limit
             reason = f"over {limit} bytes of the response are neither head nor body"
             self._fail(UpstreamBroken(reason))
--- a/goldcresthoist/upstreams/tests/test_pool.py
+++ b/goldcresthoist/upstreams/tests/test_pool.py
@@ -155,6 +155,17 @@
                         pass
                 self.pool.release(connection)
 
+    async def test_surplus_bytes_do_not_spoil_a_complete_response(self):
+        """Guards against a response that is lost because a long second copy follows."""
+        connection, writer = await self.start_exchange()
+        second = b"HTTP/1.1 200 OK\r\nContent-Length: 60000\r\n\r\n" + bytes(60_000)
+        writer.write(OK + second)
+        answer = await connection.head()
+        self.assertEqual(await answer.body.read(), b"ok")
+        self.assertTrue(answer.body.exhausted)
+        self.pool.release(connection)
+        self.assertNotIn(connection, self.pool.idle)
+
     async def test_connection_with_an_unread_body_reads_on(self):
         """Guards against a connection that stays paused after a body was not read."""
         connection, writer = await self.start_exchange()
