Keep links to a subset of each service, and pass configurations on in a tree

Cause: each daemon kept a link to each member, and the two watchers handed each configuration to all others.

Change: UpstreamSubset selects 32 upstreams of the own failure domain, 16 of the rest of the region and 8 of other regions for each service by rendezvous hashing: deterministic, balanced, and a member that comes or goes changes one place at few daemons. Upstreams that cannot be called for 2 s are replaced by the next ones and take their places again when they return. In fleets of more than 64 a daemon fetches a new version from the member above it in a tree of 16 branches, which sends it a notice, and from the watcher that reported it when no notice comes within 0.25 s. A version older than the reported one is no longer taken by a daemon that starts.

Departures of one address are ordered by their time, so that a late one does not replace a later one; a request for departures need not ask for members.

--- a/goldcresthoist/balance/__init__.py
+++ b/goldcresthoist/balance/__init__.py
@@ -29,6 +29,7 @@
 from goldcresthoist.balance.policy import Default, Naive, Policy, get_policy
 from goldcresthoist.balance.shared_budget import SharedRetryBudget
 from goldcresthoist.balance.slots import SlotCall, SlotQueue
+from goldcresthoist.balance.subset import UpstreamSubset
 from goldcresthoist.balance.suspects import CrashSuspects, SuspectRecord
 from goldcresthoist.balance.views import Outcome, UpstreamPool, UpstreamView
 
@@ -58,6 +59,7 @@
     "UnknownPolicy",
     "UpstreamHealth",
     "UpstreamPool",
+    "UpstreamSubset",
     "UpstreamView",
     "get_policy",
 ]
--- a/goldcresthoist/fleet/configuration.py
+++ b/goldcresthoist/fleet/configuration.py
@@ -10,7 +10,7 @@
 from dataclasses import dataclass
 from time import monotonic
 
-from goldcresthoist.fleet.messages import VersionReport
+from goldcresthoist.fleet.messages import VersionNotice, VersionReport
 from goldcresthoist.links.errors import LinkError
 from goldcresthoist.links.frames import ConfigurationContent
 from goldcresthoist.platform import (
@@ -62,6 +62,9 @@
 # Largest number of unknown kinds and fields that the log line of a version lists.
 MAX_LOGGED_UNKNOWN = 10
 FETCH_TIMEOUT_S = 0.4
+# Time for which a daemon waits for a newer version from its `Directory.source`, after
+# which it fetches the version from the watcher that has reported it.
+SOURCE_WAIT_S = 0.25
 # Limit on the decompressed size of a configuration received from another daemon.
 MAX_CONTENT_BYTES = 8 * 1024 * 1024
 
@@ -149,10 +152,12 @@
         self.failures = 0
         self.watching_store = False
         self.fetch_task = None
+        self.fetch_handle = None
         self.on_routing_table = None
         self.on_store_recovered = None
         self.tasks = []
         directory.channel.handlers[VersionReport] = self._on_version_report
+        directory.channel.handlers[VersionNotice] = self._on_version_notice
 
     def start(self):
         """Start the tasks that watch the store and report the version."""
@@ -166,6 +171,8 @@
 
     async def close(self):
         """Stop all tasks."""
+        if self.fetch_handle is not None:
+            self.fetch_handle.cancel()
         for task in (*self.tasks, self.fetch_task):
             if task is not None:
                 task.cancel()
@@ -352,15 +359,56 @@
             # Only a version that the store confirmed recently is fetched. During an
             # outage of the store, running daemons continue with the version that they
             # have, but a daemon that starts must not adopt one that may be outdated.
-            if self.fetch_task is None or self.fetch_task.done():
-                loop = asyncio.get_running_loop()
-                self.fetch_task = loop.create_task(self._fetch(message.ip))
+            self._plan_fetch(message.ip, message.version)
 
-    async def _fetch(self, ip):
+    def _on_version_notice(self, message, sender):
+        if sender != message.ip or message.age_ms < 0:
+            return
+        age_s = message.age_ms / 1000.0 + self.pauses.input_age_s()
+        if age_s < REPORT_VALIDITY_S:
+            self._start_fetch(message.version, (message.ip,))
+
+    def _plan_fetch(self, watcher, version):
+        """Fetch a newer version from `Directory.source`, or else from a watcher."""
+        source = self.directory.source()
+        if source is None or source == watcher:
+            self._start_fetch(version, (watcher,))
+        elif self.version < 0:
+            # The source sends notices of new versions only. After a start of the whole
+            # fleet it may have none yet.
+            self._start_fetch(version, (source, watcher))
+        elif self.fetch_handle is None:
+            self.fetch_handle = asyncio.get_running_loop().call_later(
+                SOURCE_WAIT_S, self._start_fetch, version, (watcher,)
+            )
+
+    def _start_fetch(self, version, sources):
+        """Fetch a version from one of some daemons unless it is known by now."""
+        if self.fetch_handle is not None:
+            self.fetch_handle.cancel()
+            self.fetch_handle = None
+        if version <= self.version:
+            return
+        if self.fetch_task is None or self.fetch_task.done():
+            loop = asyncio.get_running_loop()
+            self.fetch_task = loop.create_task(self._fetch(version, sources))
+
+    async def _fetch(self, version, sources):
+        for ip in sources:
+            await self._fetch_from(ip, version)
+            if self.version >= version:
+                self._notify_dependents()
+                return
+
+    async def _fetch_from(self, ip, version):
+        """Fetch the configuration of a daemon; one older than ``version`` is dropped.
+
+        A daemon that starts must not adopt an older one, and others may have it yet.
+        """
         try:
             async with asyncio.timeout(FETCH_TIMEOUT_S):
                 reply = await self.fetch(ip)
-            if reply.content and reply.version > self.version:
+            if reply.content and reply.version >= version > self.version:
                 if self._apply(_decompress(reply.content)):
                     age_s = max(0, reply.age_ms) / 1000.0
                     age_s += self.pauses.input_age_s()
@@ -368,6 +416,10 @@
         except (TimeoutError, LinkError, OSError, zlib.error, ValueError) as exc:
             self.log.event("configuration not fetched", ip=ip, error=repr(exc))
 
+    def _notify_dependents(self):
+        notice = VersionNotice(self.directory.own.ip, self.version, self._age_ms())
+        self.directory.channel.send(notice, self.directory.dependents())
+
 
 def _age_ms(since):
     """Return the milliseconds since a monotonic time; -1 for minus infinity."""
--- a/goldcresthoist/fleet/directory.py
+++ b/goldcresthoist/fleet/directory.py
@@ -17,6 +17,10 @@
 DIGEST_BYTES = 8
 # Departures kept on behalf of other daemons. The oldest is dropped beyond this number.
 MAX_DEPARTURES = 2000
+# Number of daemons that fetch a new configuration from the same daemon first. Fleets of
+# up to the second number fetch it from the daemons that watch the store.
+FETCH_FANOUT = 16
+MAX_DIRECT_MEMBERS = 64
 
 
 class Directory:
@@ -100,12 +104,12 @@
         self._digest = None
 
     def add_departure(self, departed):
-        """Store an acknowledged departure.
+        """Store an acknowledged departure unless a later one is known.
 
         Calls ``on_departure`` when it is a departure of the local upstream.
         """
-        self.departures.pop(departed.ip, None)
-        self.departures[departed.ip] = departed
+        known = self.departures.pop(departed.ip, departed)
+        self.departures[departed.ip] = max(known, departed, key=_departure_time_ms)
         while len(self.departures) > MAX_DEPARTURES:
             self.departures.pop(next(iter(self.departures)))
         if departed.ip == self.own.ip and self.on_departure is not None:
@@ -137,15 +141,45 @@
             self._ranks = {ip: rank for rank, ip in enumerate(order)}
         return self._ranks.get(ip, len(self._ranks))
 
+    def _order(self):
+        """Return the addresses of all members by rank."""
+        self.rank(self.own.ip)
+        return list(self._ranks)
+
+    def source(self):
+        """Return the member from which this one fetches a new configuration first.
+
+        The members form a tree by their ranks, so that each serves few others and a
+        version reaches all of them in a number of steps that grows with the logarithm
+        of their number. None for the root, and in a small fleet.
+        """
+        order = self._order()
+        rank = self.rank(self.own.ip)
+        if not rank or len(order) <= MAX_DIRECT_MEMBERS:
+            return None
+        return order[(rank - 1) // FETCH_FANOUT]
+
+    def dependents(self):
+        """Return the members whose `source` is this one."""
+        order = self._order()
+        if len(order) <= MAX_DIRECT_MEMBERS:
+            return []
+        first = self.rank(self.own.ip) * FETCH_FANOUT + 1
+        return order[first : first + FETCH_FANOUT]
+
     def announce(self, ips=None):
         """Send this daemon's record to these addresses, by default to all others."""
         self.channel.send(
             MemberAnnouncement(self.own), self.other_addresses() if ips is None else ips
         )
 
-    def request_roster(self, ips):
-        """Request from these daemons the members that they know."""
-        self.channel.send(RosterRequest(self.own.ip, self.digest()), ips)
+    def request_roster(self, ips, members=True):
+        """Request from these daemons the last departure of the local upstream.
+
+        With ``members``, also request the members that they know.
+        """
+        request = RosterRequest(self.own.ip, self.digest(), members)
+        self.channel.send(request, ips)
 
     def digest(self):
         """Return a digest of the members' addresses, services and start times."""
@@ -171,7 +205,7 @@
         if sender != message.ip:
             return
         records = []
-        if message.digest != self.digest():
+        if message.members and message.digest != self.digest():
             records = list(self.members.values())
         for start in range(0, len(records), RECORDS_PER_ROSTER):
             chunk = tuple(records[start : start + RECORDS_PER_ROSTER])
@@ -181,5 +215,10 @@
             self.channel.send(departed, (sender,))
 
 
+def _departure_time_ms(departed):
+    """Return a time that orders the departures of one address."""
+    return max(departed.born_ms, departed.before_ms)
+
+
 def _rank_key(ip):
     return hashlib.blake2b(ip.encode(), digest_size=8).digest()
--- a/goldcresthoist/fleet/messages.py
+++ b/goldcresthoist/fleet/messages.py
@@ -11,6 +11,7 @@
     "RosterRequest",
     "RowMissing",
     "SuspectNotice",
+    "VersionNotice",
     "VersionReport",
     "decode_record",
     "encode_record",
@@ -60,12 +61,13 @@
     """Requests the members known to the receiver.
 
     ``digest`` covers the members known to the sender. A receiver whose own digest is
-    equal sends no members. In any case it sends the last departure of the sender's
-    upstream, if it knows one.
+    equal sends no members, nor does one when ``members`` is false. In any case it sends
+    the last departure of the sender's upstream, if it knows one.
     """
 
     ip: str
     digest: bytes = b""
+    members: bool = True
 
 
 class Roster(msgspec.Struct, frozen=True, array_like=True, tag=4):
@@ -114,6 +116,18 @@
     slower: bool
 
 
+class VersionNotice(msgspec.Struct, frozen=True, array_like=True, tag=9):
+    """A configuration version that the sender has put in force and passes on.
+
+    It is sent to those daemons only that fetch from the sender first; see
+    `Directory.source`. ``age_ms`` is that of `VersionReport`.
+    """
+
+    ip: str
+    version: int
+    age_ms: int
+
+
 Datagram = (
     VersionReport
     | MemberAnnouncement
@@ -123,6 +137,7 @@
     | RowMissing
     | SuspectNotice
     | KneeVerdict
+    | VersionNotice
 )
 
 _record = msgspec.msgpack.Decoder(MemberRecord)
--- a/goldcresthoist/fleet/tests/test_watch.py
+++ b/goldcresthoist/fleet/tests/test_watch.py
@@ -1,14 +1,17 @@
 """Tests of the configuration watch and of the directory."""
 
+import asyncio
 import unittest
 import zlib
 from time import monotonic
 
 from goldcresthoist.fleet import ConfigurationWatch, Directory
+from goldcresthoist.fleet.directory import _rank_key
 from goldcresthoist.fleet.messages import (
     Departed,
     MemberAnnouncement,
     Roster,
+    VersionNotice,
     VersionReport,
 )
 from goldcresthoist.fleet.tests.builders import (
@@ -196,6 +199,102 @@
         self.assertEqual(self.watch.reports, {})
 
 
+class FetchTreeTest(unittest.IsolatedAsyncioTestCase):
+    """A daemon in a fleet of 200 whose source is not the first watcher."""
+
+    def setUp(self):
+        self.channel = FakeChannel()
+        records = [make_record(f"10.0.1.{number}") for number in range(200)]
+        order = sorted(records, key=lambda record: _rank_key(record.ip))
+        self.watcher, self.source, self.own = (order[n].ip for n in (0, 2, 40))
+        self.directory = Directory(order[40], self.channel, FakeLog())
+        for record in records:
+            self.directory.merge_record(record)
+        self.fetched = []
+        self.answers = {}
+        self.watch = ConfigurationWatch(
+            self.directory, None, self.fetch, FakeLog(), FakeCounters(), PauseDetector()
+        )
+
+    async def fetch(self, ip):
+        self.fetched.append(ip)
+        if ip not in self.answers:
+            raise LinkClosed(f"no link to {ip}")
+        return self.answers[ip]
+
+    def answer(self, ip, version):
+        content = zlib.compress(make_content(version))
+        self.answers[ip] = ConfigurationContent(version, 10, content)
+
+    async def wait_for_version(self, version):
+        async with asyncio.timeout(5.0):
+            while self.watch.version < version:  # noqa: ASYNC110
+                await asyncio.sleep(0.01)
+
+    def test_each_member_has_one_source_and_few_dependents(self):
+        """Guards against a watcher that hands the configuration to the whole fleet."""
+        directories = []
+        for record in self.directory.members.values():
+            directory = Directory(record, FakeChannel(), FakeLog())
+            directory.members = self.directory.members
+            directories.append(directory)
+        served = [ip for item in directories for ip in item.dependents()]
+        self.assertEqual(len(served), 199)
+        self.assertEqual(len(set(served)), 199)
+        for directory in directories:
+            self.assertLessEqual(len(directory.dependents()), 16)
+            for ip in directory.dependents():
+                other = next(item for item in directories if item.own.ip == ip)
+                self.assertEqual(other.source(), directory.own.ip)
+
+    async def test_notice_of_the_source_is_followed_at_once(self):
+        """Guards against a version that waits at each level of the tree."""
+        self.watch._apply(make_content(5))
+        self.answer(self.source, 9)
+        self.channel.deliver(VersionReport(self.watcher, 9, 10), self.watcher)
+        self.channel.deliver(VersionNotice(self.source, 9, 10), self.source)
+        await self.wait_for_version(9)
+        self.assertEqual(self.fetched, [self.source])
+
+    async def test_watcher_replaces_a_lost_source(self):
+        """Guards against an old configuration below a lost daemon of the tree."""
+        self.watch._apply(make_content(5))
+        self.answer(self.watcher, 9)
+        started = monotonic()
+        self.channel.deliver(VersionReport(self.watcher, 9, 10), self.watcher)
+        await self.wait_for_version(9)
+        self.assertLess(monotonic() - started, 1.0)
+
+    async def test_new_process_drops_an_older_version_of_its_source(self):
+        """Guards against a daemon that starts with an outdated version."""
+        self.answer(self.source, 7)
+        self.answer(self.watcher, 9)
+        self.channel.deliver(VersionReport(self.watcher, 9, 10), self.watcher)
+        await self.wait_for_version(1)
+        self.assertEqual(self.watch.version, 9)
+        self.assertEqual(self.fetched, [self.source, self.watcher])
+
+    async def test_fetched_version_is_passed_on(self):
+        """Guards against a tree that ends after its first level."""
+        self.directory.own = self.directory.members[self.source]
+        self.answer(self.watcher, 9)
+        self.channel.deliver(VersionReport(self.watcher, 9, 10), self.watcher)
+        await self.wait_for_version(9)
+        await asyncio.sleep(0)
+        notices = [
+            ips for item, ips in self.channel.sent if isinstance(item, VersionNotice)
+        ]
+        self.assertEqual(notices, [tuple(self.directory.dependents())])
+        self.assertIn(self.own, notices[0])
+
+    async def test_outdated_notice_is_not_followed(self):
+        """Guards against an unconfirmed version that passes down the tree."""
+        for age_ms in (-1, 5_000):
+            self.channel.deliver(VersionNotice(self.source, 9, age_ms), self.source)
+        self.channel.deliver(VersionNotice(self.source, 9, 10), "10.0.9.9")
+        self.assertIsNone(self.watch.fetch_task)
+
+
 class DirectoryTest(unittest.TestCase):
     def setUp(self):
         self.channel = FakeChannel()
@@ -227,6 +326,31 @@
         self.channel.deliver_roster_request("10.0.0.2")
         self.assertIn((departed, ("10.0.0.2",)), self.channel.sent)
 
+    def test_earlier_departure_does_not_replace_a_later_one(self):
+        """Guards against a restarted daemon that uses an upstream that has left.
+
+        A datagram or row with the departure of an earlier run arrives last.
+        """
+        later = Departed("10.0.0.2", "i-2", 9)
+        for departed in (later, Departed("10.0.0.2", "i-1", 7)):
+            self.channel.deliver(departed, "10.0.0.2")
+        unknown_start = Departed("10.0.0.3", "i-3", 0, 20)
+        for departed in (unknown_start, Departed("10.0.0.3", "i-1", 7)):
+            self.channel.deliver(departed, "10.0.0.3")
+        self.assertEqual(self.directory.departures["10.0.0.2"], later)
+        self.assertEqual(self.directory.departures["10.0.0.3"], unknown_start)
+
+    def test_each_own_departure_calls_the_handler(self):
+        """Guards against an earlier run that is in use after a later one has left."""
+        seen = []
+        self.directory.on_departure = seen.append
+        for departed in (
+            Departed("10.0.0.1", "i-2", 9),
+            Departed("10.0.0.1", "i-1", 7),
+        ):
+            self.channel.deliver(departed, "10.0.0.2")
+        self.assertEqual([item.identity for item in seen], ["i-2", "i-1"])
+
     def test_own_departure_calls_the_handler(self):
         """Guards against a departure of the local upstream that has no effect.
 
--- a/goldcresthoist/links/pool.py
+++ b/goldcresthoist/links/pool.py
@@ -147,6 +147,25 @@
         peer = self.peers[member.instance] = PeerLink(self, member, on_load)
         return peer
 
+    async def open_once(self, member):
+        """Return a new link to a member to which none is kept; the caller closes it.
+
+        Raises
+        ------
+        OSError, TimeoutError, LinkError
+            When the connection or the handshake fails.
+        """
+        host, port = split_address(member.link_address)
+        return await open_link(
+            host,
+            port,
+            self.instance,
+            member.instance,
+            self.key,
+            self.counters,
+            lambda load: None,
+        )
+
     def close_peer(self, instance):
         """Close the link to a daemon that is no longer called, without waiting."""
         peer = self.peers.pop(instance, None)
--- a/goldcresthoist/node/assembly.py
+++ b/goldcresthoist/node/assembly.py
@@ -1,5 +1,6 @@
 """Construction, start and shutdown of the components of a platform daemon."""
 
+import asyncio
 import hashlib
 import time
 
@@ -16,7 +17,7 @@
     Registration,
 )
 from goldcresthoist.fleet.messages import KneeVerdict, SuspectNotice
-from goldcresthoist.links import LinkClosed, LinkPool, LinkServer
+from goldcresthoist.links import LinkPool, LinkServer
 from goldcresthoist.node.announcements import AnnouncementServer
 from goldcresthoist.node.discovery import UpstreamDiscovery
 from goldcresthoist.node.entry import EntryServer
@@ -112,7 +113,7 @@
         self.watch = ConfigurationWatch(
             self.directory,
             self.store,
-            self._fetch_configuration,
+            lambda ip: self.services.fetch_configuration(ip),
             self.log,
             self.counters,
             self.pauses,
@@ -141,7 +142,12 @@
         self.links = LinkPool(settings.ip, key, self.counters)
         self.link_server = LinkServer(settings.ip, key, self.server, self.counters)
         self.services = FleetServices(
-            self.record, self.links, self.server, settings.bounds, settings.link_port
+            self.record,
+            self.links,
+            self.server,
+            settings.bounds,
+            settings.link_port,
+            asyncio.get_running_loop().call_soon,
         )
         self.entry = EntryServer(
             self.services,
@@ -299,22 +305,6 @@
         table = self.watch.table
         return None if table is None else table.services.get(self.own.service)
 
-    async def _fetch_configuration(self, ip):
-        """Return the `ConfigurationContent` of another daemon.
-
-        Raises
-        ------
-        LinkClosed
-            When there is no open link to that daemon.
-        """
-        peer = self.links.peers.get(ip)
-        if peer is None:
-            raise LinkClosed(f"no link to {ip}")
-        await peer.first_attempt_done.wait()
-        if peer.link is None:
-            raise LinkClosed(f"no link to {ip}")
-        return await peer.link.fetch_configuration()
-
     def _broadcast_suspect(self, fingerprint, count):
         self.log.event("crash suspect", fingerprint=fingerprint.hex(), count=count)
         notice = SuspectNotice(fingerprint, count)
--- a/goldcresthoist/node/lifecycle.py
+++ b/goldcresthoist/node/lifecycle.py
@@ -81,6 +81,7 @@
             "pauses": node.pauses.run,
             "registration": node.registration.run,
             "discovery": node.discovery.run,
+            "links": node.services.run,
             "settings": partial(_watch_settings, node, reload),
         }
         tasks = [
--- a/goldcresthoist/node/services.py
+++ b/goldcresthoist/node/services.py
@@ -1,14 +1,17 @@
 """State of each service and route at the entry daemon."""
 
+import asyncio
 from time import monotonic
 
 from goldcresthoist.balance import (
     LatencyChooser,
     SharedRetryBudget,
     UpstreamPool,
+    UpstreamSubset,
     UpstreamView,
 )
 from goldcresthoist.config.model import AtMostOnce, Read, WorkRule
+from goldcresthoist.links import LinkClosed
 from goldcresthoist.routes import WeightedRoundRobin
 
 __all__ = ["FleetServices", "RouteState", "ServiceState"]
@@ -24,13 +27,29 @@
 # Size of the response body that is assumed before the first response of a route with
 # large responses.
 INITIAL_LARGE_RESPONSE_BYTES = 64 * 1024
+# Interval at which `FleetServices.run` looks for upstreams that cannot be called, and
+# the time after which another one is used in their place.
+SUBSET_CHECK_INTERVAL_S = 0.5
+REPLACE_AFTER_S = 2.0
 
 
 class ServiceState:
-    """`UpstreamPool` of a service and this daemon's part of its `SharedRetryBudget`."""
+    """What this daemon keeps of one service.
 
-    def __init__(self, name, pool, budget):
+    Attributes
+    ----------
+    name : str
+    subset : UpstreamSubset
+        All known upstreams of the service.
+    pool : UpstreamPool
+        Those to which this daemon keeps links.
+    budget : SharedRetryBudget
+        This daemon's part of the retry budget.
+    """
+
+    def __init__(self, name, subset, pool, budget):
         self.name = name
+        self.subset = subset
         self.pool = pool
         self.budget = budget
 
@@ -106,6 +125,9 @@
 class FleetServices:
     """Services of the fleet, links to their members and the choice of an upstream.
 
+    Links are kept to the subset of each service only (see `UpstreamSubset`), so that
+    their number does not grow with the fleet.
+
     Parameters
     ----------
     own : MemberRecord
@@ -116,6 +138,9 @@
         Limits of the platform, such as the retry budget.
     link_port : int
         Port on which the daemons accept links.
+    call_soon : callable
+        ``call_soon(function)`` calls a function after the current callback of the event
+        loop, so that links are opened once for many members that are added together.
 
     Attributes
     ----------
@@ -123,50 +148,129 @@
         `ServiceState` by name.
     routes : dict
         `RouteState` by name.
-    daemons : int
-        Number of members, which share the retry budgets.
+    members : dict
+        `MemberRecord` of each member by its IP address. The members share the retry
+        budgets.
     views : dict
-        Service and `UpstreamView` of each member by its IP address.
+        `UpstreamView` by IP address, of the local upstream and of those to which links
+        are kept.
+    uncallable_since : dict
+        Monotonic time since which an upstream in `views` cannot be called, by IP
+        address.
     """
 
-    def __init__(self, own, links, server, bounds, link_port):
+    def __init__(self, own, links, server, bounds, link_port, call_soon):
         self.own = own
         self.links = links
         self.server = server
         self.bounds = bounds
         self.link_port = link_port
+        self.call_soon = call_soon
         self.chooser = LatencyChooser()
         self.services = {}
         self.routes = {}
-        self.daemons = 1
+        self.members = {}
         self.views = {}
+        self.uncallable_since = {}
+        self.update_pending = False
         self.add_member(own)
 
     def add_member(self, record):
         """Add a member or apply a changed record of it."""
-        earlier = self.views.get(record.ip)
+        earlier = self.members.get(record.ip)
+        self.members[record.ip] = record
+        if earlier is not None and earlier.service == record.service:
+            # The serving daemon restarted; the link reconnects and updates the same
+            # view.
+            return
         if earlier is not None:
-            service, view = earlier
-            if service == record.service:
-                # The serving daemon restarted; the link reconnects and updates the
-                # same view.
-                return
-            self.service(service).pool.discard(view.instance)
+            self.service(earlier.service).subset.discard(record.ip)
+            self._remove_view(earlier)
             self.links.close_peer(record.ip)
+        for service in self.services.values():
+            service.budget.set_daemon_count(len(self.members))
+        if record.ip == self.own.ip:
+            self._add_view(record)
+            return
+        subset = self.service(record.service).subset
+        subset.add(record.ip, record.failure_domain, record.region)
+        if not self.update_pending:
+            self.update_pending = True
+            self.call_soon(self.update_links)
+
+    async def run(self):
+        """Replace upstreams that cannot be called, until cancelled."""
+        while True:
+            await asyncio.sleep(SUBSET_CHECK_INTERVAL_S)
+            self.update_links()
+
+    def update_links(self):
+        """Open the links that the subsets require, and close the other ones when idle.
+
+        An upstream that could not be called for `REPLACE_AFTER_S` counts as down.
+        """
+        self.update_pending = False
         now = monotonic()
-        view = UpstreamView(record.ip, record.failure_domain, record.region, now)
+        down = self._find_down(now)
+        for service in self.services.values():
+            selected = service.subset.select(down)
+            for ip in selected:
+                if ip not in self.views:
+                    self._open_link(self.members[ip])
+            for view in service.pool.views[:]:
+                if view.instance != self.own.ip and view.instance not in selected:
+                    self._remove_view(self.members[view.instance])
+                    self.links.close_when_idle(view.instance)
+
+    async def fetch_configuration(self, ip):
+        """Return the `ConfigurationContent` of another daemon.
+
+        Raises
+        ------
+        OSError, TimeoutError, LinkError
+            When there is no link to that daemon and none can be opened.
+        """
+        peer = self.links.peers.get(ip)
+        if peer is None:
+            link = await self.links.open_once(_LinkTarget(ip, self.link_port))
+            try:
+                return await link.fetch_configuration()
+            finally:
+                link.close("not-needed")
+        await peer.first_attempt_done.wait()
+        if peer.link is None:
+            raise LinkClosed(f"no link to {ip}")
+        return await peer.link.fetch_configuration()
+
+    def _find_down(self, now):
+        down = set()
+        for ip, view in self.views.items():
+            if ip == self.own.ip or (not view.draining and self._usable(view, now)):
+                self.uncallable_since.pop(ip, None)
+            elif now - self.uncallable_since.setdefault(ip, now) >= REPLACE_AFTER_S:
+                down.add(ip)
+        return down
+
+    def _open_link(self, record):
+        view = self._add_view(record)
+        target = _LinkTarget(record.ip, self.link_port)
+        self.links.peer(target, self._make_load_recorder(view))
+
+    def _add_view(self, record):
+        view = UpstreamView(
+            record.ip, record.failure_domain, record.region, monotonic()
+        )
         # The upstream gets no calls until its serving daemon has sent a load report.
         view.draining = record.ip != self.own.ip
         view.link_s_per_byte = _link_s_per_byte(self.own, record)
-        self.views[record.ip] = (record.service, view)
+        self.views[record.ip] = view
         self.service(record.service).pool.add(view)
-        self.daemons = len(self.views)
-        for service in self.services.values():
-            service.budget.set_daemon_count(self.daemons)
-        if record.ip != self.own.ip:
-            self.links.peer(
-                _LinkTarget(record.ip, self.link_port), self._make_load_recorder(view)
-            )
+        return view
+
+    def _remove_view(self, record):
+        self.service(record.service).pool.discard(record.ip)
+        self.views.pop(record.ip, None)
+        self.uncallable_since.pop(record.ip, None)
 
     def set_bounds(self, bounds):
         """Replace the bounds, also those of the retry budgets in use."""
@@ -180,9 +284,11 @@
         if found is None:
             bounds = self.bounds
             budget = SharedRetryBudget(bounds.retry_share, bounds.retry_reserve)
-            budget.set_daemon_count(self.daemons)
-            pool = UpstreamPool(self.own.failure_domain, self.own.region)
-            found = self.services[name] = ServiceState(name, pool, budget)
+            budget.set_daemon_count(len(self.members))
+            own = self.own
+            pool = UpstreamPool(own.failure_domain, own.region)
+            subset = UpstreamSubset(own.ip, own.failure_domain, own.region)
+            found = self.services[name] = ServiceState(name, subset, pool, budget)
         return found
 
     def route(self, route):
@@ -224,7 +330,7 @@
             The link is None for the local upstream. None when no upstream can be
             called.
         """
-        own = self.views[self.own.ip][1]
+        own = self.views[self.own.ip]
         if service.name == self.own.service:
             self.chooser.record_load(own, self.server.load_report(), now)
 
@@ -238,7 +344,7 @@
 
     def count_alternatives(self, service, now, exclude):
         """Return the number of upstreams outside ``exclude`` that can be called."""
-        own = self.views[self.own.ip][1]
+        own = self.views[self.own.ip]
         return sum(
             1
             for view in service.pool
--- a/goldcresthoist/node/tests/builders.py
+++ b/goldcresthoist/node/tests/builders.py
@@ -6,13 +6,24 @@
 __all__ = ["FakeLinks", "make_announcement", "make_record"]
 
 
+class FakePeer:
+    """Stands in for a `PeerLink` that is open."""
+
+    def __init__(self, on_load):
+        self.on_load = on_load
+
+    def is_usable(self, now):
+        """Return whether calls may be sent."""
+        return True
+
+
 class FakeLinks:
     """Has the methods of `LinkPool` that `FleetServices` uses.
 
     Attributes
     ----------
     peers : dict
-        Callback for load reports by the instance of the peer.
+        `FakePeer` by the instance of the peer.
     closed_peers : list of str
         Instances whose link was closed.
     """
@@ -23,16 +34,20 @@
 
     def peer(self, member, on_load):
         """Register a callback; a link that is already open keeps its first one."""
-        return self.peers.setdefault(member.instance, on_load)
+        return self.peers.setdefault(member.instance, FakePeer(on_load))
 
     def close_peer(self, instance):
         """Remove a link and record its instance."""
         self.closed_peers.append(instance)
         self.peers.pop(instance, None)
 
+    def close_when_idle(self, instance):
+        """Remove a link that carries no call."""
+        self.close_peer(instance)
+
     def report(self, instance, load):
         """Deliver a load report to the callback of a link."""
-        self.peers[instance](load)
+        self.peers[instance].on_load(load)
 
 
 def make_record(ip, service, born_ms=1, domain="a", link_mbit_s=0.0):
--- a/goldcresthoist/node/tests/site.py
+++ b/goldcresthoist/node/tests/site.py
@@ -158,6 +158,7 @@
         node.background = [
             asyncio.create_task(node.registration.run()),
             asyncio.create_task(node.discovery.run()),
+            asyncio.create_task(node.services.run()),
             asyncio.create_task(node.pauses.run()),
         ]
         node.watch.start()
--- a/goldcresthoist/node/tests/test_services.py
+++ b/goldcresthoist/node/tests/test_services.py
@@ -1,6 +1,8 @@
 """Tests of the state of the services at the entry daemon."""
 
 import unittest
+from time import monotonic
+from unittest import mock
 
 from goldcresthoist.links.frames import LoadReport
 from goldcresthoist.node.services import FleetServices
@@ -14,12 +16,16 @@
 READY = LoadReport(0, 0, 12, 100.0, draining=False, pace=1.0)
 
 
+def run_now(function):
+    """Stand in for ``call_soon`` of the event loop."""
+    function()
+
+
 class FleetServicesTest(unittest.TestCase):
     def setUp(self):
         self.links = FakeLinks()
-        self.services = FleetServices(
-            make_record("10.0.0.1", "ledger"), self.links, None, Bounds(), 7600
-        )
+        own = make_record("10.0.0.1", "ledger")
+        self.services = FleetServices(own, self.links, None, Bounds(), 7600, run_now)
 
     def test_restarted_daemon_gets_calls(self):
         """Guards against a view that gets no load reports after a daemon restart.
@@ -32,7 +38,7 @@
         self.links.report("10.0.0.2", READY)
         self.services.add_member(make_record("10.0.0.2", "listen", born_ms=2))
         self.links.report("10.0.0.2", READY)
-        _, view = self.services.views["10.0.0.2"]
+        view = self.services.views["10.0.0.2"]
         self.assertFalse(view.draining)
         self.assertIs(self.services.service("listen").pool.get("10.0.0.2"), view)
 
@@ -43,7 +49,7 @@
         self.assertEqual(self.links.closed_peers, ["10.0.0.2"])
         self.assertIsNone(self.services.service("listen").pool.get("10.0.0.2"))
         self.links.report("10.0.0.2", READY)
-        self.assertFalse(self.services.views["10.0.0.2"][1].draining)
+        self.assertFalse(self.services.views["10.0.0.2"].draining)
 
     def test_bandwidth_between_instances_is_that_of_the_thinner_link(self):
         """Guards against large responses that are sent over a thin link.
@@ -51,11 +57,11 @@
         A daemon of an earlier release does not announce its bandwidth.
         """
         own = make_record("10.0.0.1", "ledger", link_mbit_s=100.0)
-        services = FleetServices(own, self.links, None, Bounds(), 7600)
+        services = FleetServices(own, self.links, None, Bounds(), 7600, run_now)
         for number, mbit_s in ((2, 8.0), (3, 1000.0), (4, 0.0)):
             record = make_record(f"10.0.0.{number}", "listen", link_mbit_s=mbit_s)
             services.add_member(record)
-        found = [view.link_s_per_byte for _, view in services.views.values()]
+        found = [view.link_s_per_byte for view in services.views.values()]
         self.assertEqual(found, [0.0, 1e-6, 8e-8, 0.0])
 
     def test_changed_bounds_apply_to_budgets_in_use(self):
@@ -78,4 +84,69 @@
     def test_new_member_gets_no_calls_before_its_first_report(self):
         """Guards against calls to a daemon whose local upstream may not be ready."""
         self.services.add_member(make_record("10.0.0.2", "listen"))
-        self.assertTrue(self.services.views["10.0.0.2"][1].draining)
+        self.assertTrue(self.services.views["10.0.0.2"].draining)
+
+
+class LinkSubsetTest(unittest.TestCase):
+    """Links to 60 daemons of one service in the failure domain of this daemon."""
+
+    def setUp(self):
+        self.links = FakeLinks()
+        self.later = []
+        own = make_record("10.0.0.1", "ledger")
+        self.services = FleetServices(
+            own, self.links, None, Bounds(), 7600, self.later.append
+        )
+        for number in range(60):
+            self.services.add_member(make_record(f"10.0.1.{number}", "listen"))
+        self.run_later()
+        self.now = monotonic()
+
+    def run_later(self):
+        for function in self.later:
+            function()
+        self.later.clear()
+
+    def update_links(self, after_s=0.0):
+        self.now += after_s
+        with mock.patch("goldcresthoist.node.services.monotonic", lambda: self.now):
+            self.services.update_links()
+
+    def callable_upstreams(self):
+        service = self.services.service("listen")
+        return self.services.count_alternatives(service, self.now, ())
+
+    def test_members_read_together_cause_one_update(self):
+        """Guards against links that are opened and closed while rows are read."""
+        self.assertEqual(len(self.links.peers), 32)
+        self.assertEqual(self.links.closed_peers, [])
+
+    def test_budget_is_shared_by_all_members(self):
+        """Guards against a subset of links that multiplies the retries of the fleet."""
+        self.assertEqual(self.services.service("listen").budget.daemons, 61)
+
+    def test_lost_upstreams_are_replaced(self):
+        """Guards against a daemon that has links to a lost failure domain only."""
+        lost = set(list(self.links.peers)[:20])
+        for ip in self.links.peers:
+            if ip not in lost:
+                self.links.report(ip, READY)
+        self.update_links()
+        self.assertEqual(len(self.links.peers), 32)
+        self.update_links(2.1)
+        self.assertEqual(len(self.links.peers), 52)
+        for ip in set(self.links.peers) - lost:
+            self.links.report(ip, READY)
+        self.assertEqual(self.callable_upstreams(), 32)
+
+    def test_returned_upstreams_take_their_places_again(self):
+        """Guards against links that accumulate with each fault."""
+        first = set(self.links.peers)
+        self.update_links()
+        self.update_links(2.1)
+        self.assertEqual(len(self.links.peers), 60)
+        for ip in first:
+            self.links.report(ip, READY)
+        self.update_links(0.5)
+        self.assertEqual(set(self.links.peers), first)
+        self.assertEqual(set(self.services.views) - {"10.0.0.1"}, first)
