Read the rows before writing the own one after a restart

Cause: a daemon that starts wrote its row first and read the departures and the members afterwards. One part of a table takes 200 writes a second. After a power failure of 195 daemons the last read came a second after the first, and a daemon serves nothing before it; those that waited for over 0.2 s did not know the members and watched the store themselves.

Change: unless the settings say that the fleet starts for the first time, the rows are read first, and the row of the earlier process is kept if it says the same. Such a daemon is not announced either, since all know it. At the first start members are requested from others only after all have announced themselves; before, each daemon was sent nearly all members up to six times. A malformed response of the store no longer turns a departure into a 400.

Tests: RestartTest.

--- a/goldcresthoist/fleet/registration.py
+++ b/goldcresthoist/fleet/registration.py
@@ -4,6 +4,8 @@
 import random
 from time import monotonic
 
+import msgspec
+
 from goldcresthoist.fleet.messages import (
     Departed,
     MemberAnnouncement,
@@ -28,9 +30,17 @@
 # recovered; the later ones spread the retries of the whole fleet.
 RETRY_MIN_S = 0.3
 RETRY_MAX_S = 1.2
-# A new member announces itself once after each of these pauses, because datagrams may
-# be lost.
-ANNOUNCE_DELAYS_S = (0.0, 0.3, 1.0)
+# Steps after the rows have been read: a pause in seconds, whether a new member then
+# announces itself, and whether it requests the members that others know, besides the
+# departures. Datagrams may be lost, so an announcement is sent twice. Members are
+# requested when a fleet that starts together has announced itself, or each daemon would
+# be sent nearly all of them.
+JOIN_STEPS = (
+    (0.0, True, False),
+    (0.3, False, False),
+    (0.7, True, False),
+    (1.5, False, True),
+)
 # A daemon that knows no other member reads the rows again after this time.
 NO_MEMBERS_RETRY_S = 1.0
 # Interval at which the first watcher compares the rows with the known members.
@@ -57,22 +67,28 @@
         Only its first watcher compares the rows with the known members.
     log
         Has ``event(name, **fields)``.
+    bootstrap : bool
+        Whether the whole fleet starts for the first time, so that no rows exist yet.
 
     Attributes
     ----------
+    row_kept : bool
+        Whether the row that an earlier process of this daemon wrote is still valid.
     rows_loaded : asyncio.Event
         Set after the rows have been read for the first time. Departures that an earlier
         process of this daemon acknowledged are known from then on.
     written_at : float
         Monotonic time at which this daemon's row was last written, or a further write
-        was started.
+        was started; 0 before the first write.
     """
 
-    def __init__(self, directory, store, watch, log):
+    def __init__(self, directory, store, watch, log, bootstrap=False):
         self.directory = directory
         self.store = store
         self.watch = watch
         self.log = log
+        self.bootstrap = bootstrap
+        self.row_kept = False
         self.rows_loaded = asyncio.Event()
         self.written_at = 0.0
         self.tasks = set()
@@ -80,12 +96,12 @@
 
     async def run(self):
         """Join the fleet, then compare rows and members until cancelled."""
-        await self._retry_until_done(self._write)
-        await self._retry_until_done(self._read)
-        for pause_s in ANNOUNCE_DELAYS_S:
+        await self._register()
+        for pause_s, announces, wants_members in JOIN_STEPS:
             await asyncio.sleep(pause_s)
-            self.directory.announce()
-            self._request_rosters()
+            if announces and not self.row_kept:
+                self.directory.announce()
+            self._request_rosters(wants_members)
         while not self.directory.other_addresses():
             await asyncio.sleep(NO_MEMBERS_RETRY_S * random.uniform(0.8, 1.2))
             await self._retry_until_done(self._read)
@@ -95,6 +111,22 @@
             if self.watch.is_first_watcher():
                 await self._attempt(self._compare)
 
+    async def _register(self):
+        """Read the rows, and write the daemon's own one if it has to be written.
+
+        The rows are read after the own one is written, so that of two daemons that
+        start together at least one finds the other. Writes take the store much longer
+        than reads, and after a power failure the whole fleet restarts at once. A daemon
+        that may have a row reads first, and writes only if its row is missing or says
+        something else.
+        """
+        if not self.bootstrap:
+            await self._retry_until_done(self._read)
+            if self.row_kept:
+                return
+        await self._retry_until_done(self._write)
+        await self._retry_until_done(self._read)
+
     def store_recovered(self):
         """Compare rows and members now, as the store may have lost some rows.
 
@@ -112,7 +144,7 @@
         values = {key: encode_record(departed)}
         try:
             await self.store.put(MEMBER_TABLE, values, DEPARTURE_TIMEOUT_S)
-        except StoreError as exc:
+        except (StoreError, PlatformFormatError) as exc:
             # The other daemons have the departure too, and send it to this daemon after
             # a restart.
             self.log.event("departure not stored", error=str(exc))
@@ -177,15 +209,30 @@
                 self.log.event("row ignored", key=row.key)
                 return
             registered.add(record.ip)
-            self.directory.merge_record(record)
+            if record.ip == self.directory.own.ip:
+                self._keep_row(record)
+            else:
+                self.directory.merge_record(record)
         elif row.key.startswith(DEPARTED_PREFIX):
             departed = decode_record(row.value, Departed)
             if departed is not None and row.key == DEPARTED_PREFIX + departed.ip:
-                if departed.ip not in self.directory.departures:
-                    self.directory.add_departure(departed)
+                self.directory.add_departure(departed)
         elif row.key.startswith(KNEE_PREFIX):
             self.directory.notify_knee(row.key.removeprefix(KNEE_PREFIX))
 
+    def _keep_row(self, record):
+        """Continue with the record of an earlier process if it is still valid.
+
+        The start time of that process is kept, so that all daemons have the same record
+        whether they know it from the row or from an announcement.
+        """
+        own = self.directory.own
+        if self.written_at or record.born_ms > own.born_ms:
+            return
+        if msgspec.structs.replace(own, born_ms=record.born_ms) == record:
+            self.row_kept = True
+            self.directory.replace_own(record)
+
     async def _compare(self):
         known = set(self.directory.members)
         registered = await self._read()
@@ -209,9 +256,10 @@
             self.written_at = now
             self._start_task(self._retry_until_done(self._write))
 
-    def _request_rosters(self):
+    def _request_rosters(self, members):
+        """Ask two other daemons for departures, and for members if ``members``."""
         ips = self.directory.other_addresses()
-        self.directory.request_roster(random.sample(ips, min(2, len(ips))))
+        self.directory.request_roster(random.sample(ips, min(2, len(ips))), members)
 
     def _start_task(self, coroutine):
         task = asyncio.get_running_loop().create_task(coroutine)
--- a/goldcresthoist/fleet/tests/builders.py
+++ b/goldcresthoist/fleet/tests/builders.py
@@ -50,14 +50,14 @@
         Values of the rows by key.
     error : Exception or None
         Raised by each call while it is set.
-    puts : int
-        Number of calls of `put`.
+    puts, reads : int
+        Number of calls of `put` and of `rows`.
     """
 
     def __init__(self, rows=()):
         self.values = dict(rows)
         self.error = None
-        self.puts = 0
+        self.puts = self.reads = 0
 
     async def put(self, table, values, timeout_s=1.0):
         """Write rows, or raise ``error``."""
@@ -70,6 +70,7 @@
         """Return one page of rows, or raise ``error``."""
         from goldcresthoist.platform import Row, RowPage
 
+        self.reads += 1
         if self.error is not None:
             raise self.error
         keys = sorted(key for key in self.values if key >= first)
--- a/goldcresthoist/fleet/tests/test_registration.py
+++ b/goldcresthoist/fleet/tests/test_registration.py
@@ -2,9 +2,17 @@
 
 import asyncio
 import unittest
+from unittest import mock
 
 from goldcresthoist.fleet import Directory, Registration
-from goldcresthoist.fleet.messages import Departed, RowMissing, encode_record
+from goldcresthoist.fleet.messages import (
+    Departed,
+    MemberAnnouncement,
+    RosterRequest,
+    RowMissing,
+    decode_record,
+    encode_record,
+)
 from goldcresthoist.fleet.registration import DEPARTED_PREFIX, MEMBER_PREFIX
 from goldcresthoist.fleet.tests.builders import (
     FakeChannel,
@@ -12,7 +20,7 @@
     FakeStore,
     make_record,
 )
-from goldcresthoist.platform import StoreUnavailable
+from goldcresthoist.platform import InvalidMessage, StoreUnavailable
 
 
 class FakeWatch:
@@ -79,6 +87,15 @@
         await self.registration.record_departure(Departed("10.0.0.1", "i-1", 7))
         self.assertEqual(self.log.events[-1][0], "departure not stored")
 
+    async def test_malformed_response_does_not_reject_a_departure(self):
+        """Guards against a valid departure that is answered as malformed.
+
+        The error of the store's response was taken for one of the announcement.
+        """
+        self.store.error = InvalidMessage("malformed response to rows-tx")
+        await self.registration.record_departure(Departed("10.0.0.1", "i-1", 7))
+        self.assertEqual(self.log.events[-1][0], "departure not stored")
+
     async def test_members_of_all_pages_are_found(self):
         """Guards against members missed because only the first page of rows is read.
 
@@ -111,3 +128,95 @@
         self.assertFalse(await self.registration._attempt(self.registration._write))
         self.store.error = None
         self.assertTrue(await self.registration._attempt(self.registration._write))
+
+
+class RestartTest(unittest.IsolatedAsyncioTestCase):
+    """Daemons of a large fleet that register with one store."""
+
+    def setUp(self):
+        self.store = FakeStore()
+        self.channels = []
+
+    def make_registration(self, number, born_ms=1, service="ledger", **values):
+        channel = FakeChannel()
+        self.channels.append(channel)
+        own = make_record(f"10.0.{number // 250}.{number % 250}", service, born_ms)
+        directory = Directory(own, channel, FakeLog())
+        return Registration(directory, self.store, FakeWatch(), FakeLog(), **values)
+
+    async def start_fleet(self, count=195):
+        for number in range(count):
+            await self.make_registration(number, bootstrap=True)._register()
+
+    async def test_fleet_that_restarts_writes_no_rows(self):
+        """Guards against a fleet that waits for the store after a power failure.
+
+        One part of the table takes 200 writes a second. With a write for each of 195
+        daemons, some read the departures and the members only a second after their
+        start, and serve nothing until then.
+        """
+        await self.start_fleet()
+        self.store.puts = self.store.reads = 0
+        await self.make_registration(0)._read()
+        pages = self.store.reads
+        for number in range(195):
+            registration = self.make_registration(number, born_ms=9)
+            await registration._register()
+            self.assertTrue(registration.rows_loaded.is_set())
+            self.assertEqual(len(registration.directory.members), 195)
+        self.assertEqual(self.store.puts, 0)
+        # Each reads the rows once.
+        self.assertEqual(self.store.reads, 196 * pages)
+
+    async def test_restarted_daemon_has_the_record_that_others_know(self):
+        """Guards against rosters that are sent although both ends know the same."""
+        await self.start_fleet(3)
+        first = self.make_registration(0, born_ms=9)
+        second = self.make_registration(1, born_ms=9)
+        for registration in (first, second):
+            await registration._register()
+        self.assertEqual(first.directory.digest(), second.directory.digest())
+
+    async def test_changed_or_missing_row_is_written(self):
+        """Guards against a daemon that nobody finds, or that is sent other work."""
+        await self.start_fleet(3)
+        for number, service in ((0, "desk"), (7, "ledger")):
+            registration = self.make_registration(number, 9, service)
+            await registration._register()
+            own = registration.directory.own
+            self.assertFalse(registration.row_kept)
+            self.assertEqual((own.service, own.born_ms), (service, 9))
+            row = self.store.values[MEMBER_PREFIX + own.ip]
+            self.assertEqual(decode_record(row), own)
+        self.assertEqual(len(registration.directory.members), 4)
+
+    async def test_row_from_the_future_is_not_kept(self):
+        """Guards against a forged start time that outlives all later records."""
+        forged = make_record("10.0.0.0", born_ms=1 << 60)
+        self.store.values[MEMBER_PREFIX + "10.0.0.0"] = encode_record(forged)
+        registration = self.make_registration(0, born_ms=9)
+        await registration._register()
+        self.assertEqual(registration.directory.own.born_ms, 9)
+        self.assertEqual(self.store.puts, 1)
+
+    async def test_members_are_requested_after_the_announcements(self):
+        """Guards against a fleet in which each daemon is sent all members at its start.
+
+        At 195 daemons that were 20 datagrams for each of six requests of each daemon.
+        """
+        with mock.patch("goldcresthoist.fleet.registration.asyncio.sleep"):
+            registration = self.make_registration(0, bootstrap=True)
+            registration.directory.merge_record(make_record("10.0.0.9"))
+            with mock.patch.object(registration, "_attempt", self.stop_at_comparison):
+                with self.assertRaises(asyncio.CancelledError):
+                    await registration.run()
+        sent = [item for item, _ in self.channels[0].sent]
+        wants = [item.members for item in sent if isinstance(item, RosterRequest)]
+        self.assertEqual(wants, [False, False, False, True])
+        self.assertIsInstance(sent[0], MemberAnnouncement)
+        self.assertEqual(sent[-1], RosterRequest("10.0.0.0", sent[-1].digest, True))
+
+    async def stop_at_comparison(self, action):
+        if action.__name__ == "_compare":
+            raise asyncio.CancelledError
+        return True
--- a/goldcresthoist/node/assembly.py
+++ b/goldcresthoist/node/assembly.py
@@ -119,7 +119,7 @@
             self.pauses,
         )
         self.registration = Registration(
-            self.directory, self.store, self.watch, self.log
+            self.directory, self.store, self.watch, self.log, settings.bootstrap
         )
 
     def _build_calls(self, key):
--- a/goldcresthoist/platform/settings.py
+++ b/goldcresthoist/platform/settings.py
@@ -64,6 +64,7 @@
     link_mbit_s: float
     memory_mb: float
     bounds: Bounds
+    bootstrap: bool = False
 
     @classmethod
     def from_environment(cls):
@@ -133,6 +134,7 @@
             link_mbit_s=read.number("self.limits.link_mbps", 1000.0),
             memory_mb=read.number("self.limits.memory_mb", 200.0),
             bounds=bounds,
+            bootstrap=read.value("self.bootstrap") is True,
         )
 
 
