Cut daemons off from each other in the soak, and prove that it can fail

The soak injected faults between the daemons and the store only, its truncated responses were whole, and nothing looked at versions or deadlines.

Change: proxies between all daemons, for links and datagrams, that cut in one or both directions, delay and reset; slowed daemons, clock steps, starts without the store, signals to a daemon that stops, pauses beyond the deadline, upstreams that leave and fall silent while their daemon is killed, and responses that are garbage, endless or late second copies. It checks besides that no process forgets a version that it has shown, and that nothing runs after its deadline.

--- a/goldcresthoist/daemon/tests/test_upload_runner.py
+++ b/goldcresthoist/daemon/tests/test_upload_runner.py
@@ -9,6 +9,7 @@
 from goldcresthoist.objects import ObjectsError
 from goldcresthoist.operations import MissingPart
 from goldcresthoist.table import TableError
+from goldcresthoist.tests.cluster import eventually
 from goldcresthoist.upstreams import ConnectionPool, UpstreamError
 
 LENGTH = 100_000
@@ -95,5 +96,7 @@
                 self.assertEqual(records.released, [token])
                 self.assertEqual(records.unknown, [])
                 self.assertEqual(call.refused, ["store-unavailable"])
-                self.assertTrue(call.connection.closed)
+                self.pool.release(call.connection)
+                self.assertNotIn(call.connection, self.pool.idle)
+                await eventually(lambda: call.connection.closed)
         self.assertLess(self.received, 3 * LENGTH)
--- a/goldcresthoist/tests/soak/fleet.py
+++ b/goldcresthoist/tests/soak/fleet.py
@@ -1,6 +1,8 @@
 """Daemon processes, each connected to the store through a proxy that injects faults."""
 
 import asyncio
+import itertools
+import json
 import os
 import signal
 import sys
@@ -8,12 +10,17 @@
 from pathlib import Path
 
 from goldcresthoist.node.tests.site import Site, configuration, settings_text
-from goldcresthoist.tests.soak.proxy import FaultProxy
+from goldcresthoist.tests.soak.daemon import SETTINGS_VARIABLE
+from goldcresthoist.tests.soak.proxy import FaultProxy, PeerProxy
 
 __all__ = ["SoakFleet"]
 
 FIRST_PROXY_PORT = 8700
+FIRST_PEER_PROXY_PORT = 9000
+LINK_PORT, GOSSIP_PORT = 7600, 7601
 STORE_PORT = 8627
+# Largest number of daemons between which there are proxies; two daemons need two.
+MAX_PROXIED_DAEMONS = 12
 ROOT = Path(__file__).resolve().parents[3]
 STOP_TIMEOUT_S = 6.0
 
@@ -22,12 +29,31 @@
     """A site whose daemons are separate processes.
 
     The upstreams and the store run in the process of the test.
+
+    Parameters
+    ----------
+    services : list of str
+        Service of each upstream.
+    disabled : str
+        Name of the mechanism that the daemons do without; see
+        `soak.daemon.DISABLED_MECHANISMS`.
+
+    Attributes
+    ----------
+    proxies : dict
+        `FaultProxy` between each daemon and the store, by address of the daemon.
+    peer_proxies : dict
+        `PeerProxy` by the addresses of the sending and the receiving daemon. Empty in a
+        large fleet.
     """
 
-    def __init__(self, services):
+    def __init__(self, services, disabled=""):
         super().__init__(services)
         self.folder = tempfile.TemporaryDirectory(prefix="goldcresthoist-soak-")
+        self.disabled = disabled
         self.proxies = {}
+        self.peer_proxies = {}
+        self.started_targets = []
         self.processes = {}
         # IP addresses of the daemons that an action, such as a restart, is changing.
         self.busy = set()
@@ -36,6 +62,7 @@
         """Start everything and wait until every daemon is ready."""
         await self.store.start(self.store_host, STORE_PORT)
         self.configure(configuration())
+        await self._start_peer_proxies()
         for ip, service in zip(self.ips, self.services):
             listen_address = (self.store_host, self.proxy_port(ip))
             proxy = FaultProxy(*listen_address, self.store_host, STORE_PORT)
@@ -45,6 +72,45 @@
             await self.start_target(ip, service)
         await self.wait_until_ready()
 
+    async def _start_peer_proxies(self):
+        if len(self.ips) > MAX_PROXIED_DAEMONS:
+            return
+        ports = itertools.count(FIRST_PEER_PROXY_PORT)
+        for sender, target in itertools.permutations(self.ips, 2):
+            address = (self.store_host, next(ports))
+            proxy = PeerProxy(*address, sender, target, LINK_PORT, GOSSIP_PORT)
+            self.peer_proxies[sender, target] = proxy
+            await proxy.start()
+
+    async def start_target(self, ip, service, identity=None):
+        """Start the local upstream of a daemon, which is stopped with the fleet."""
+        target = await super().start_target(ip, service, identity)
+        self.started_targets.append(target)
+        return target
+
+    def proxies_between(self, ip, other):
+        """Return the proxies for both directions between two daemons."""
+        pairs = ((ip, other), (other, ip))
+        return [self.peer_proxies[pair] for pair in pairs if pair in self.peer_proxies]
+
+    def clock_path(self, ip):
+        """Return the file with the error of a daemon's time of day in seconds."""
+        return Path(self.folder.name) / f"{ip}.clock"
+
+    def _daemon_settings(self, ip):
+        proxies = {}
+        for (sender, target), proxy in self.peer_proxies.items():
+            if sender == ip:
+                for port in (LINK_PORT, GOSSIP_PORT):
+                    proxies[f"{target}:{port}"] = proxy.links.listen_address
+        return json.dumps(
+            {
+                "proxies": proxies,
+                "clock": str(self.clock_path(ip)),
+                "disabled": self.disabled,
+            }
+        )
+
     def proxy_port(self, ip):
         """Return the port of the proxy between a daemon and the store."""
         return FIRST_PROXY_PORT + self.ips.index(ip)
@@ -59,9 +125,13 @@
         self.processes[ip] = await asyncio.create_subprocess_exec(
             sys.executable,
             "-m",
-            "goldcresthoist.node",
+            "goldcresthoist.tests.soak.daemon",
             cwd=ROOT,
-            env=os.environ | {"GOLDCRESTHOIST_NODE_FILE": str(path)},
+            env=os.environ
+            | {
+                "GOLDCRESTHOIST_NODE_FILE": str(path),
+                SETTINGS_VARIABLE: self._daemon_settings(ip),
+            },
             stdout=log,
             stderr=log,
         )
@@ -125,9 +195,9 @@
         for ip, process in self.processes.items():
             self.signal(ip, signal.SIGKILL)
             await process.wait()
-        for proxy in self.proxies.values():
+        for proxy in (*self.proxies.values(), *self.peer_proxies.values()):
             await proxy.stop()
-        for target in self.targets.values():
+        for target in self.started_targets:
             await target.stop()
         await self.store.stop()
         self.folder.cleanup()
--- a/goldcresthoist/tests/soak/proxy.py
+++ b/goldcresthoist/tests/soak/proxy.py
@@ -1,9 +1,9 @@
-"""A loopback TCP proxy that delays or drops data and resets connections."""
+"""Loopback proxies that delay or drop data and reset connections."""
 
 import asyncio
 import contextlib
 
-__all__ = ["FaultProxy"]
+__all__ = ["DatagramProxy", "FaultProxy", "PeerProxy"]
 
 CHUNK_BYTES = 64 * 1024
 
@@ -73,3 +73,86 @@
                 await writer.drain()
         with contextlib.suppress(OSError):
             writer.write_eof()
+
+
+class DatagramProxy(asyncio.DatagramProtocol):
+    """Forwards the datagrams of one sender to one address.
+
+    The receiver sees the sender's IP address as their source.
+
+    Attributes
+    ----------
+    drops : bool
+        Whether datagrams are dropped.
+    """
+
+    def __init__(self, host, port, sender_ip, target_host, target_port):
+        self.listen_address = (host, port)
+        self.sender_ip = sender_ip
+        self.target = (target_host, target_port)
+        self.drops = False
+        self.listener = None
+        self.sender = None
+
+    async def start(self):
+        """Open both sockets."""
+        loop = asyncio.get_running_loop()
+        self.listener, _ = await loop.create_datagram_endpoint(
+            lambda: self, local_addr=self.listen_address
+        )
+        self.sender, _ = await loop.create_datagram_endpoint(
+            asyncio.DatagramProtocol, local_addr=(self.sender_ip, 0)
+        )
+
+    def datagram_received(self, data, addr):
+        """Forward one datagram unless it is to be dropped."""
+        if not self.drops:
+            self.sender.sendto(data, self.target)
+
+    def stop(self):
+        """Close both sockets."""
+        self.listener.close()
+        self.sender.close()
+
+
+class PeerProxy:
+    """Carries what one daemon sends to another one, and the answers over its link.
+
+    Parameters
+    ----------
+    host, port : str, int
+        Address of the proxy for links and for datagrams.
+    sender_ip, target_ip : str
+        Addresses of both daemons.
+    link_port, gossip_port : int
+        Ports of the daemon that is called.
+    """
+
+    def __init__(self, host, port, sender_ip, target_ip, link_port, gossip_port):
+        self.links = FaultProxy(host, port, target_ip, link_port)
+        self.datagrams = DatagramProxy(host, port, sender_ip, target_ip, gossip_port)
+
+    async def start(self):
+        """Start to forward."""
+        await self.links.start()
+        await self.datagrams.start()
+
+    async def stop(self):
+        """Stop forwarding and reset the links."""
+        await self.links.stop()
+        self.datagrams.stop()
+
+    def cut(self, direction):
+        """Drop what goes ``"to"`` the target, comes ``"from"`` it, or ``"both"``."""
+        self.links.dropped_direction = direction
+        self.datagrams.drops = direction != "from"
+
+    def clear_faults(self):
+        """Forward everything, and without a delay.
+
+        Links that have lost data are reset, as a frame may have been cut.
+        """
+        if self.links.dropped_direction:
+            self.links.reset()
+        self.links.clear_faults()
+        self.datagrams.drops = False
--- a/goldcresthoist/tests/soak/run.py
+++ b/goldcresthoist/tests/soak/run.py
@@ -12,15 +12,60 @@
 
 __all__ = ["GuaranteeViolation", "SoakRun"]
 
-SERVICES = ("listen", "listen", "ledger", "ledger")
+SERVICES = ("listen", "ledger", "listen", "ledger")
 CALLERS = 6
 FAULT_INTERVAL_S = 0.6
+# Number of the last versions of the configuration that requests look for.
+RECENT_VERSIONS = 4
+DEADLINE_S = 2.5
+# An upstream may start a request this long after the deadline of its caller: a busy
+# machine delays what was sent in time.
+DEADLINE_SLACK_S = 0.5
 # The platform limits how long a draining upstream may still receive work. The slack
 # allows for scheduling delays on a busy machine.
 DRAIN_LIMIT_S = 2.0
 DRAIN_SLACK_S = 1.0
+# Time for which an upstream serves after its departure was acknowledged.
+DEPARTED_SERVING_S = 5.0
 # Values of ``fault`` in the query of a request to a `PlatformTarget`.
-RESPONSE_FAULTS = ("close", "truncate", "extra", "unframed", "shed", "status")
+RESPONSE_FAULTS = (
+    "close",
+    "truncate",
+    "extra",
+    "late",
+    "garbage",
+    "unframed",
+    "shed",
+    "status",
+    "endless-line",
+    "endless-other",
+)
+# Methods of `SoakRun`, without the leading underscore.
+FAULTS = (
+    "kill",
+    "restart",
+    "restart_with_signals",
+    "start_without_store",
+    "pause",
+    "slow_down",
+    "step_clock",
+    "cut_peers",
+    "delay_peers",
+    "reset_peers",
+    "isolate",
+    "reset_store_connections",
+    "drop_store_traffic",
+    "stall_store",
+    "delay_store",
+    "lose_store_responses",
+    "delete_daemon_rows",
+    "change_configuration",
+    "reload_settings",
+    "replace_upstream",
+    "leave_and_kill",
+    "crash_upstream",
+    "slow_upstream",
+)
 # Statuses with which a daemon guarantees that the request was not executed.
 NOT_EXECUTED_STATUSES = (408, 421, 429, 503)
 
@@ -38,24 +83,48 @@
         Seed of the random choices of requests and faults.
     duration_s : float
         Duration of the load and the faults in seconds.
+    services : sequence of str
+        Service of each daemon's upstream.
+    faults : sequence of str, optional
+        Names of the faults to inject, by default all of `FAULTS`.
+    interval_s : float
+        Mean time between two faults in seconds.
+    disabled : str
+        Name of the mechanism that the daemons do without.
     """
 
-    def __init__(self, seed, duration_s=8.0):
+    def __init__(
+        self,
+        seed,
+        duration_s=8.0,
+        services=SERVICES,
+        faults=FAULTS,
+        interval_s=FAULT_INTERVAL_S,
+        disabled="",
+    ):
         self.random = random.Random(seed)
         self.duration_s = duration_s
-        self.fleet = SoakFleet(list(SERVICES))
-        # Version of the configuration in the store.
-        self.version = 1
+        self.faults = faults
+        self.interval_s = interval_s
+        self.fleet = SoakFleet(list(services), disabled)
+        # Versions of the configuration that were written to the store.
+        self.versions = [1]
         # Number of responses by status. The status is 0 for an incomplete response; the
         # key "no connection" counts connections that failed or timed out.
         self.answers = Counter()
         # Status by request id of each write, or None without a response.
         self.writes = {}
+        # Monotonic time by request id at which the caller's deadline passes.
+        self.deadlines = {}
+        # Highest version that each daemon process has shown, by process id.
+        self.shown_versions = Counter()
         self.replaced_targets = []
         self.drained_targets = []
         # (monotonic time in seconds, fault, IP address of the daemon) of each injected
         # fault.
         self.events = []
+        # Last log lines of each daemon by IP address, once the run has ended.
+        self.logs = {}
 
     async def execute(self):
         """Run the load and the faults; return the number of responses by status.
@@ -80,6 +149,7 @@
             await self._check_recovery()
             self._check_runs()
         finally:
+            self.logs = fleet.logs()
             await fleet.stop()
         return dict(self.answers)
 
@@ -94,29 +164,36 @@
 
     async def _send_on_connection(self, ip, end_time):
         """Send requests on one connection until it closes or the time is over."""
+        process = self.fleet.processes[ip]
         async with asyncio.timeout(5.0):
             reader, writer = await asyncio.open_connection(ip, 8629)
         try:
             while monotonic() < end_time:
-                answer = await self._send_request(reader, writer)
+                answer = await self._send_request(reader, writer, process)
                 if answer.status == 0 or answer.headers.get("connection") == "close":
                     return
         finally:
             writer.close()
 
-    async def _send_request(self, reader, writer):
+    async def _send_request(self, reader, writer, process):
         request_id = f"s{next(self.fleet.ids)}"
         write = self.random.random() < 0.5
         path = "/write/x" if write else "/read/x"
+        version = 0
+        if not write and self.random.random() < 0.4:
+            version = self.random.choice(self.versions[-RECENT_VERSIONS:])
+            path = f"/v{version}/x"
         query = f"?ms={self.random.choice((0, 5, 30))}"
         if self.random.random() < 0.15:
             query += f"&fault={self.random.choice(RESPONSE_FAULTS)}"
         method, body = ("POST", b"y" * 200) if write else ("GET", b"")
         head = f"{method} {path}{query} HTTP/1.1\r\nHost: site.example\r\n"
-        head += f"Request-Id: {request_id}\r\nDeadline-Ms: 2500\r\n"
+        head += f"Request-Id: {request_id}\r\n"
+        head += f"Deadline-Ms: {round(DEADLINE_S * 1000)}\r\n"
         head += f"Content-Length: {len(body)}\r\n\r\n"
         if write:
             self.writes[request_id] = None
+        self.deadlines[request_id] = monotonic() + DEADLINE_S
         writer.write(head.encode() + body)
         async with asyncio.timeout(8.0):
             answer = await read_answer(reader)
@@ -124,6 +201,8 @@
         if write:
             self.writes[request_id] = answer.status
         self._check_answer(request_id, answer)
+        if version:
+            self._check_version(process, version, answer)
         return answer
 
     def _check_answer(self, request_id, answer):
@@ -136,30 +215,28 @@
         if answer.headers.get("response-seal") != seal:
             raise GuaranteeViolation(f"{request_id}: the response has no valid seal")
 
+    def _check_version(self, process, version, answer):
+        """Check that a process that has shown a version does not forget it.
+
+        Each version adds a route, so a request on it is answered with 404 only by a
+        process that does not have that version.
+        """
+        shown = self.shown_versions[process.pid]
+        if answer.status == 404 and version <= shown:
+            raise GuaranteeViolation(
+                f"a daemon has shown version {shown} and does not know {version}"
+            )
+        if answer.status == 200:
+            self.shown_versions[process.pid] = max(shown, version)
+
     async def _inject_faults_until(self, end_time):
-        faults = (
-            self._kill,
-            self._restart,
-            self._pause,
-            self._reset_store_connections,
-            self._drop_store_traffic,
-            self._stall_store,
-            self._delay_store,
-            self._lose_store_responses,
-            self._delete_daemon_rows,
-            self._change_configuration,
-            self._reload_settings,
-            self._replace_upstream,
-            self._crash_upstream,
-            self._slow_upstream,
-        )
         async with asyncio.TaskGroup() as group:
             while monotonic() < end_time:
-                fault = self.random.choice(faults)
+                fault = self.random.choice(self.faults)
                 ip = self.random.choice(self.fleet.ips)
-                self.events.append((round(monotonic(), 2), fault.__name__, ip))
-                group.create_task(fault(ip))
-                await asyncio.sleep(FAULT_INTERVAL_S * self.random.uniform(0.2, 1.8))
+                self.events.append((round(monotonic(), 2), fault, ip))
+                group.create_task(getattr(self, f"_{fault}")(ip))
+                await asyncio.sleep(self.interval_s * self.random.uniform(0.2, 1.8))
 
     async def _kill(self, ip):
         await self._run_exclusively(ip, self.fleet.kill_and_start)
@@ -180,11 +257,98 @@
     async def _pause(self, ip):
         async def pause(ip):
             self.fleet.signal(ip, signal.SIGSTOP)
-            await asyncio.sleep(self.random.uniform(0.1, 1.5))
+            await asyncio.sleep(self.random.choice((0.3, 1.5, DEADLINE_S + 1.5)))
             self.fleet.signal(ip, signal.SIGCONT)
 
         await self._run_exclusively(ip, pause)
 
+    async def _slow_down(self, ip):
+        """Stop a daemon for most of the time, as an overloaded instance does."""
+
+        async def slow_down(ip):
+            for _ in range(20):
+                self.fleet.signal(ip, signal.SIGSTOP)
+                await asyncio.sleep(0.08)
+                self.fleet.signal(ip, signal.SIGCONT)
+                await asyncio.sleep(0.02)
+
+        await self._run_exclusively(ip, slow_down)
+
+    async def _step_clock(self, ip):
+        """Set the time of day of a daemon ahead or back for a while."""
+        path = self.fleet.clock_path(ip)
+        path.write_text(str(self.random.choice((-3600, -3, 3, 3600))))
+        await asyncio.sleep(self.random.uniform(0.5, 3.0))
+        path.write_text("0")
+
+    async def _restart_with_signals(self, ip):
+        """Send signals to a daemon that stops, and in some cases kill it then."""
+
+        async def restart_with_signals(ip):
+            for number in (signal.SIGHUP, signal.SIGTERM, signal.SIGHUP):
+                self.fleet.signal(ip, number)
+                await asyncio.sleep(self.random.uniform(0.0, 0.5))
+            if self.random.random() < 0.5:
+                await self.fleet.kill_and_start(ip)
+            else:
+                await self.fleet.restart(ip)
+
+        await self._run_exclusively(ip, restart_with_signals)
+
+    async def _start_without_store(self, ip):
+        """Start a daemon that cannot reach the store at first."""
+
+        async def start_without_store(ip):
+            self.fleet.proxies[ip].dropped_direction = "both"
+            await self.fleet.kill_and_start(ip)
+            await asyncio.sleep(self.random.uniform(0.5, 2.0))
+            self._clear_store_proxy(ip)
+
+        await self._run_exclusively(ip, start_without_store)
+
+    def _clear_store_proxy(self, ip):
+        proxy = self.fleet.proxies[ip]
+        proxy.clear_faults()
+        # Bytes were lost, so the connections carry incomplete messages.
+        proxy.reset()
+
+    async def _cut_peers(self, ip):
+        """Silence the links and datagrams between two daemons, also one way."""
+        proxies = self._proxies_to_another(ip)
+        for proxy in proxies:
+            proxy.cut(self.random.choice(("to", "from", "both")))
+        await asyncio.sleep(self.random.uniform(0.2, 3.0))
+        for proxy in proxies:
+            proxy.clear_faults()
+
+    async def _delay_peers(self, ip):
+        proxies = self._proxies_to_another(ip)
+        for proxy in proxies:
+            proxy.links.delay_s = self.random.uniform(0.02, 0.4)
+        await asyncio.sleep(self.random.uniform(0.2, 2.0))
+        for proxy in proxies:
+            proxy.links.delay_s = 0.0
+
+    async def _reset_peers(self, ip):
+        for proxy in self._proxies_to_another(ip):
+            proxy.links.reset()
+
+    async def _isolate(self, ip):
+        """Cut a daemon off from all others and from the store."""
+        others = [other for other in self.fleet.ips if other != ip]
+        proxies = [p for other in others for p in self.fleet.proxies_between(ip, other)]
+        for proxy in proxies:
+            proxy.cut("both")
+        self.fleet.proxies[ip].dropped_direction = "both"
+        await asyncio.sleep(self.random.uniform(0.2, 3.0))
+        for proxy in proxies:
+            proxy.clear_faults()
+        self._clear_store_proxy(ip)
+
+    def _proxies_to_another(self, ip):
+        other = self.random.choice([other for other in self.fleet.ips if other != ip])
+        return self.fleet.proxies_between(ip, other)
+
     async def _reset_store_connections(self, ip):
         self.fleet.proxies[ip].reset()
 
@@ -192,7 +356,7 @@
         proxy = self.fleet.proxies[ip]
         proxy.dropped_direction = self.random.choice(("to", "from", "both"))
         await asyncio.sleep(self.random.uniform(0.2, 2.0))
-        proxy.clear_faults()
+        self._clear_store_proxy(ip)
 
     async def _stall_store(self, ip):
         self.fleet.store.faults["silent"] = True
@@ -200,8 +364,8 @@
         self.fleet.store.faults.pop("silent", None)
 
     async def _delay_store(self, ip):
-        self.fleet.proxies[ip].delay_s = self.random.uniform(0.05, 0.5)
-        await asyncio.sleep(1.0)
+        self.fleet.proxies[ip].delay_s = self.random.uniform(0.05, 0.8)
+        await asyncio.sleep(self.random.uniform(0.5, 2.0))
         self.fleet.proxies[ip].delay_s = 0.0
 
     async def _lose_store_responses(self, ip):
@@ -213,8 +377,13 @@
             del rows[key]
 
     async def _change_configuration(self, ip):
-        self.version += self.random.randint(1, 3)
-        self.fleet.configure(configuration(self.version))
+        self.versions.append(self.versions[-1] + self.random.randint(1, 3))
+        document = configuration(self.versions[-1])
+        read = document["routes"][0]
+        for version in self.versions:
+            added = {"name": f"v{version}", "prefix": f"/v{version}/"}
+            document["routes"].append(read | added)
+        self.fleet.configure(document)
 
     async def _reload_settings(self, ip):
         if ip not in self.fleet.busy:
@@ -228,7 +397,23 @@
         self.fleet.targets[ip] = None
         await target.drain()
         self.drained_targets.append(target)
-        await asyncio.sleep(DRAIN_LIMIT_S + DRAIN_SLACK_S)
+        await asyncio.sleep(DEPARTED_SERVING_S)
+        await self._start_upstream(ip, target)
+
+    async def _leave_and_kill(self, ip):
+        """Let an upstream leave and fall silent, and kill its daemon meanwhile.
+
+        The daemon that starts again finds an upstream that responds to health checks.
+        """
+        target = self.fleet.targets.get(ip)
+        if target is None:
+            return
+        self.fleet.targets[ip] = None
+        await target.drain()
+        target.heartbeat_task.cancel()
+        self.drained_targets.append(target)
+        await self._kill(ip)
+        await asyncio.sleep(DEPARTED_SERVING_S)
         await self._start_upstream(ip, target)
 
     async def _crash_upstream(self, ip):
@@ -262,7 +447,11 @@
 
     def _clear_faults(self):
         self.fleet.store.faults = {}
-        for proxy in self.fleet.proxies.values():
+        for ip, proxy in self.fleet.proxies.items():
+            if proxy.dropped_direction:
+                self._clear_store_proxy(ip)
+            proxy.clear_faults()
+        for proxy in self.fleet.peer_proxies.values():
             proxy.clear_faults()
 
     async def _check_recovery(self):
@@ -291,6 +480,14 @@
                 raise GuaranteeViolation(
                     f"{request_id} was answered with 200 but not executed"
                 )
+        for target in targets:
+            for request_id, ran_at, *_ in target.runs:
+                deadline = self.deadlines.get(request_id, ran_at)
+                if ran_at > deadline + DEADLINE_SLACK_S:
+                    late_s = ran_at - deadline
+                    raise GuaranteeViolation(
+                        f"{request_id} was executed {late_s:.2f} s after its deadline"
+                    )
         for target in self.drained_targets:
             last = target.acknowledged_at + DRAIN_LIMIT_S + DRAIN_SLACK_S
             late = [run[0] for run in target.runs if run[1] > last]
--- a/goldcresthoist/tests/standins/platform_target.py
+++ b/goldcresthoist/tests/standins/platform_target.py
@@ -3,10 +3,10 @@
 It processes a request for the milliseconds given by ``ms`` in the query, signs the
 response (longer by ``size`` bytes), reports its load and records each execution in
 `PlatformTarget.runs`, so that a test can compare the responses to callers with what was
-executed. ``fault`` in the
-query selects a fault: ``status`` (status 500), ``close`` (no response after the
-execution), ``truncate``, ``extra`` (a second response), ``unframed`` (no length),
-``shed`` (status 503 without execution), ``unsealed`` (no signature) or one of
+executed. ``fault`` in the query selects a fault: ``status`` (status 500), ``close`` (no
+response after the execution), ``truncate`` (half of the body), ``extra`` and ``late``
+(a second response, at once or 0.1 s later), ``garbage`` (no HTTP), ``unframed`` (no
+length), ``shed`` (status 503 without execution), ``unsealed`` (no signature) or one of
 `ENDLESS_FAULTS` (bytes until the connection ends). It responds to ``/health`` at once,
 unless ``health_hangs`` is set.
 """
@@ -31,6 +31,8 @@
     "endless-other": (b"Content-Length: 1000000000\r\n\r\n", b"a"),
 }
 ENDLESS_PIECE_BYTES = 64 * 1024
+# Delay of the second response of the fault ``late``.
+LATE_COPY_S = 0.1
 
 
 def response_seal(identity, request_id, body):
@@ -246,8 +248,11 @@
         headers = [] if fault == "unsealed" else [("Response-Seal", seal)]
         if fault == "close":
             self.transport.abort()
+        elif fault == "garbage":
+            self.transport.write(bytes(range(256)))
         elif fault == "truncate":
-            self._write(200, body, headers, length=len(body) + 10)
+            half = body[: len(body) // 2]
+            self._write(200, half, headers, length=len(body))
             self.transport.close()
         elif fault == "unframed":
             self._write(200, body, headers, length=None)
@@ -258,6 +263,19 @@
             self._write(200, body, headers)
             if fault == "extra":
                 self._write(200, b"junk", headers)
+            elif fault == "late":
+                self._repeat_later(body, headers)
+
+    def _repeat_later(self, body, headers):
+        request_id = self.headers.get("request-id", "")
+
+        def repeat():
+            now = self.headers.get("request-id")
+            self.headers["request-id"] = request_id
+            self._write(200, body, headers)
+            self.headers["request-id"] = now or ""
+
+        asyncio.get_running_loop().call_later(LATE_COPY_S, repeat)
 
     def _write(self, status, body, headers, length=-1):
         target = self.target
