Stop a discovered upstream whose departure is reported late, and let a later run back

Cause, found by reading (report of other operators: a server that had left was in use after a restart): a daemon that restarts takes the identity of its upstream from the health check before it knows the start time of that run. A departure with a start time that a peer reported afterwards did not stop the calls until the next announcement. One without a start time stopped them for good, also when the announcement showed that the run had started later.

Change: a reported departure of the identity discards the discovery. The next announcement tells which run it is.

--- a/goldcresthoist/node/own_upstream.py
+++ b/goldcresthoist/node/own_upstream.py
@@ -197,8 +197,12 @@
         """Exclude a run whose departure an earlier process of this daemon acknowledged.
 
         The parameters are the result of `mark_departed` in that process. A run of the
-        same identity that started later is not excluded.
+        same identity that started later is not excluded. Whether that is the case is
+        not known of a discovered run, so it gets no calls until it announces itself.
         """
+        if self.discovered and identity == self.identity:
+            self.discovered = False
+            self.identity = None
         if born_ms:
             self.departed[(identity, born_ms)] = True
             is_current = born_ms == self.born_ms
--- a/goldcresthoist/node/tests/test_own_upstream.py
+++ b/goldcresthoist/node/tests/test_own_upstream.py
@@ -73,6 +73,33 @@
                 self.assertFalse(self.own.usable())
                 self.assertIs(self.announce(sequence=2), AnnouncementResult.DEPARTED)
 
+    def test_late_report_of_a_departure_stops_a_discovered_run(self):
+        """Guards against a server that had left and is in use after a restart.
+
+        The store did not have the departure, and a peer reported it only after the
+        health check had named the identity. Its start time is not known until then.
+        """
+        self.own.discover("i-1", 12)
+        self.own.restore_departure("i-1", 1000, 0)
+        self.assertFalse(self.own.usable())
+        self.assertIs(self.announce(), AnnouncementResult.DEPARTED)
+        self.assertFalse(self.own.usable())
+
+    def test_late_report_of_an_earlier_departure_ends_with_the_announcement(self):
+        """Guards against a live upstream that never gets calls again.
+
+        An earlier run of the same identity departed. The report stops the discovered
+        run, until its announcement shows that it started later.
+        """
+        for born_ms, before_ms in ((1000, 0), (0, 1000)):
+            with self.subTest(born_ms=born_ms):
+                self.own = LocalUpstream("10.0.0.1:8000", "ledger")
+                self.own.discover("i-1", 12)
+                self.own.restore_departure("i-1", born_ms, before_ms)
+                self.assertFalse(self.own.usable())
+                self.assertIs(self.announce(born_ms=2000), AnnouncementResult.NEW)
+                self.assertTrue(self.own.usable())
+
     def test_departed_identity_is_not_discovered(self):
         """Guards against a restarted daemon that uses an upstream that has left."""
         for born_ms in (0, 1000):
