--- a/goldcresthoist/node/announcements.py
+++ b/goldcresthoist/node/announcements.py
@@ -6,7 +6,7 @@
 
 from goldcresthoist.callers import CallerError
 from goldcresthoist.fleet.messages import Departed
-from goldcresthoist.node.own_upstream import AnnouncementResult
+from goldcresthoist.node.local_upstream import AnnouncementResult
 from goldcresthoist.platform import (
     PlatformFormatError,
     decode_announcement,
--- a/goldcresthoist/node/assembly.py
+++ b/goldcresthoist/node/assembly.py
@@ -19,14 +19,14 @@
 from goldcresthoist.fleet.messages import KneeVerdict, SuspectNotice
 from goldcresthoist.links import LinkPool, LinkServer
 from goldcresthoist.node.announcements import AnnouncementServer
+from goldcresthoist.node.call_execution import make_connection
 from goldcresthoist.node.discovery import UpstreamDiscovery
 from goldcresthoist.node.entry import EntryServer
-from goldcresthoist.node.own_upstream import LocalUpstream
+from goldcresthoist.node.local_upstream import LocalUpstream
 from goldcresthoist.node.services import FleetServices
 from goldcresthoist.node.serving import UpstreamServer
 from goldcresthoist.node.status import NodeStatus
 from goldcresthoist.node.transfers import TransferBudget
-from goldcresthoist.node.upstream_run import make_connection
 from goldcresthoist.pauses import PauseDetector
 from goldcresthoist.platform import StoreClient
 from goldcresthoist.telemetry import Counters, DecisionLog, PlainExposition
--- a/goldcresthoist/node/pace_probe.py
+++ b/goldcresthoist/node/pace_probe.py
@@ -7,7 +7,11 @@
 import asyncio
 from time import monotonic
 
-from goldcresthoist.node.upstream_run import MAX_IDLE_S, acquire_recent_idle, mark_idle
+from goldcresthoist.node.call_execution import (
+    MAX_IDLE_S,
+    acquire_recent_idle,
+    mark_idle,
+)
 from goldcresthoist.platform.fields import parse_response_fields
 from goldcresthoist.upstreams import UpstreamError
 
--- a/goldcresthoist/node/serving.py
+++ b/goldcresthoist/node/serving.py
@@ -11,8 +11,8 @@
 )
 from goldcresthoist.balance._report_delay import clock_ms
 from goldcresthoist.links.frames import ConfigurationContent, FailureKind, LoadReport
+from goldcresthoist.node.call_execution import CallExecution
 from goldcresthoist.node.pace_probe import PaceProbe
-from goldcresthoist.node.upstream_run import CallExecution
 from goldcresthoist.supervision import keep_running
 
 __all__ = ["UpstreamServer"]
--- a/goldcresthoist/node/tests/site.py
+++ b/goldcresthoist/node/tests/loopback_cluster.py
@@ -14,7 +14,7 @@
 
 __all__ = [
     "Answer",
-    "Site",
+    "LoopbackCluster",
     "configuration",
     "read_answer",
     "settings_text",
@@ -94,7 +94,7 @@
         self.body = body
 
 
-class Site:
+class LoopbackCluster:
     """Daemons, upstreams and a store in this process.
 
     Parameters
--- a/goldcresthoist/node/tests/test_endless_bytes.py
+++ b/goldcresthoist/node/tests/test_endless_bytes.py
@@ -5,7 +5,7 @@
 
 import psutil
 
-from goldcresthoist.node.tests.site import read_answer
+from goldcresthoist.node.tests.loopback_cluster import read_answer
 from goldcresthoist.tests.soak.fleet import SoakFleet
 
 MIB = 1024 * 1024
--- a/goldcresthoist/node/tests/test_large_responses.py
+++ b/goldcresthoist/node/tests/test_large_responses.py
@@ -3,9 +3,13 @@
 import asyncio
 import unittest
 
-from goldcresthoist.node.tests.site import Site, read_answer, wait_until
+from goldcresthoist.node.call_execution import MAX_WHOLE_ANSWER_BYTES
+from goldcresthoist.node.tests.loopback_cluster import (
+    LoopbackCluster,
+    read_answer,
+    wait_until,
+)
 from goldcresthoist.node.transfers import CALL_BYTES
-from goldcresthoist.node.upstream_run import MAX_WHOLE_ANSWER_BYTES
 from goldcresthoist.tests.standins.platform_target import response_seal
 
 PACK_BYTES = 300_000
@@ -19,7 +23,7 @@
 
 class LargeResponseTest(unittest.IsolatedAsyncioTestCase):
     async def asyncSetUp(self):
-        self.site = Site(["listen", "listen", "ledger"])
+        self.site = LoopbackCluster(["listen", "listen", "ledger"])
         await self.site.start()
         self.addAsyncCleanup(self.site.stop)
         self.first, self.second, self.third = self.site.ips
--- a/goldcresthoist/node/tests/test_link_subset.py
+++ b/goldcresthoist/node/tests/test_link_subset.py
@@ -5,7 +5,11 @@
 from unittest import mock
 
 from goldcresthoist.balance import UpstreamSubset
-from goldcresthoist.node.tests.site import Site, configuration, wait_until
+from goldcresthoist.node.tests.loopback_cluster import (
+    LoopbackCluster,
+    configuration,
+    wait_until,
+)
 
 SERVICES = ["listen"] * 7 + ["ledger"]
 
@@ -22,7 +26,7 @@
             patch = mock.patch(f"goldcresthoist.{name}", value)
             patch.start()
             self.addCleanup(patch.stop)
-        self.site = Site(SERVICES)
+        self.site = LoopbackCluster(SERVICES)
         self.addAsyncCleanup(self.site.stop)
         await self.site.start()
         self.entry = self.site.nodes[self.site.ips[-1]]
--- a/goldcresthoist/node/tests/test_own_upstream.py
+++ b/goldcresthoist/node/tests/test_local_upstream.py
@@ -2,7 +2,7 @@
 
 import unittest
 
-from goldcresthoist.node.own_upstream import AnnouncementResult, LocalUpstream
+from goldcresthoist.node.local_upstream import AnnouncementResult, LocalUpstream
 from goldcresthoist.node.tests.builders import make_announcement
 
 
--- a/goldcresthoist/node/tests/test_pace_probe.py
+++ b/goldcresthoist/node/tests/test_pace_probe.py
@@ -7,10 +7,10 @@
 
 from goldcresthoist.balance import CrashSuspects, SlotCall
 from goldcresthoist.fleet.tests.builders import FakeCounters, FakeLog
-from goldcresthoist.node.own_upstream import LocalUpstream
+from goldcresthoist.node.call_execution import make_connection
+from goldcresthoist.node.local_upstream import LocalUpstream
 from goldcresthoist.node.serving import UpstreamServer
 from goldcresthoist.node.transfers import TransferBudget
-from goldcresthoist.node.upstream_run import make_connection
 from goldcresthoist.pauses import PauseDetector
 from goldcresthoist.tests.standins.platform_target import PlatformTarget
 from goldcresthoist.upstreams import ConnectionPool
--- a/goldcresthoist/node/tests/test_path.py
+++ b/goldcresthoist/node/tests/test_path.py
@@ -9,8 +9,8 @@
 from goldcresthoist.balance.slots import PACE_MAX_AGE_S
 from goldcresthoist.node.assembly import METRICS_PORT
 from goldcresthoist.node.lifecycle import drain
-from goldcresthoist.node.tests.site import (
-    Site,
+from goldcresthoist.node.tests.loopback_cluster import (
+    LoopbackCluster,
     configuration,
     read_answer,
     wait_until,
@@ -20,7 +20,7 @@
 
 class PathTest(unittest.IsolatedAsyncioTestCase):
     async def asyncSetUp(self):
-        self.site = Site(["listen", "listen", "ledger"])
+        self.site = LoopbackCluster(["listen", "listen", "ledger"])
         await self.site.start()
         self.first, self.second, self.third = self.site.ips
 
--- a/goldcresthoist/node/tests/test_serving.py
+++ b/goldcresthoist/node/tests/test_serving.py
@@ -6,7 +6,7 @@
 from goldcresthoist.balance import CrashSuspects
 from goldcresthoist.fleet.tests.builders import FakeCounters, FakeLog
 from goldcresthoist.links.frames import Open
-from goldcresthoist.node.own_upstream import LocalUpstream
+from goldcresthoist.node.local_upstream import LocalUpstream
 from goldcresthoist.node.serving import UpstreamServer
 from goldcresthoist.node.tests.builders import make_announcement
 from goldcresthoist.node.transfers import TransferBudget
--- a/goldcresthoist/tests/soak/daemon.py
+++ b/goldcresthoist/tests/soak/daemon.py
@@ -21,8 +21,8 @@
 from goldcresthoist.fleet.registration import Registration
 from goldcresthoist.links import pool
 from goldcresthoist.node import lifecycle
-from goldcresthoist.node.own_upstream import AnnouncementResult, LocalUpstream
-from goldcresthoist.node.upstream_run import CallExecution
+from goldcresthoist.node.call_execution import CallExecution
+from goldcresthoist.node.local_upstream import AnnouncementResult, LocalUpstream
 from goldcresthoist.pauses import PauseDetector
 from goldcresthoist.upstreams import UpstreamBroken
 
--- a/goldcresthoist/tests/soak/fleet.py
+++ b/goldcresthoist/tests/soak/fleet.py
@@ -9,7 +9,11 @@
 import tempfile
 from pathlib import Path
 
-from goldcresthoist.node.tests.site import Site, configuration, settings_text
+from goldcresthoist.node.tests.loopback_cluster import (
+    LoopbackCluster,
+    configuration,
+    settings_text,
+)
 from goldcresthoist.tests.soak.daemon import SETTINGS_VARIABLE
 from goldcresthoist.tests.soak.proxy import FaultProxy, PeerProxy
 
@@ -25,7 +29,7 @@
 STOP_TIMEOUT_S = 6.0
 
 
-class SoakFleet(Site):
+class SoakFleet(LoopbackCluster):
     """A site whose daemons are separate processes.
 
     The upstreams and the store run in the process of the test.
--- a/goldcresthoist/tests/soak/run.py
+++ b/goldcresthoist/tests/soak/run.py
@@ -6,7 +6,7 @@
 from collections import Counter
 from time import monotonic
 
-from goldcresthoist.node.tests.site import configuration, read_answer
+from goldcresthoist.node.tests.loopback_cluster import configuration, read_answer
 from goldcresthoist.tests.soak.fleet import SoakFleet
 from goldcresthoist.tests.standins.platform_target import response_seal
 
--- a/goldcresthoist/upstreams/__init__.py
+++ b/goldcresthoist/upstreams/__init__.py
@@ -3,7 +3,6 @@
 The client of the platform's store uses its connections, too.
 """
 
-from goldcresthoist.upstreams.client import RequestWriter, send_remaining_body
 from goldcresthoist.upstreams.connection import UpstreamConnection, UpstreamResponse
 from goldcresthoist.upstreams.errors import (
     ConnectionLimitReached,
@@ -19,6 +18,7 @@
     RequestIdConnection,
     make_echoed_id_connection,
 )
+from goldcresthoist.upstreams.request_writer import RequestWriter, send_remaining_body
 
 __all__ = [
     "ConnectionLimitReached",
