Let a record replace the earlier one also when the clock is behind

Cause, found by reading: of two records with one address, daemons keep the one with the later start time, which is the time of day. When an address is used again by an instance whose clock is behind, or the time was set back before a restart, all others ignored the new record and kept the service that the address had before.

Change: a daemon that finds the row of an earlier process at its start takes a start time after that one; so does a change of the service in the settings. A row more than an hour ahead is still taken for a forged one.

--- a/goldcresthoist/fleet/registration.py
+++ b/goldcresthoist/fleet/registration.py
@@ -48,6 +48,9 @@
 # A row that is reported as missing is written again only if this time has passed since
 # it was last written.
 REWRITE_INTERVAL_S = 2.0
+# Largest difference between the clocks of two instances. A row whose start time is
+# further ahead is not one of an earlier process.
+MAX_CLOCK_SKEW_MS = 3_600_000
 # Longest time for which the acknowledgement of a departure waits for the store. The
 # upstream waits 1 s for the acknowledgement.
 DEPARTURE_TIMEOUT_S = 0.4
@@ -224,14 +227,20 @@
         """Continue with the record of an earlier process if it is still valid.
 
         The start time of that process is kept, so that all daemons have the same record
-        whether they know it from the row or from an announcement.
+        whether they know it from the row or from an announcement. If the record has
+        changed, the start time must be later, since the others ignore an earlier one,
+        but the clock of this instance may be behind.
         """
         own = self.directory.own
-        if self.written_at or record.born_ms > own.born_ms:
+        ahead_ms = record.born_ms - own.born_ms
+        if self.written_at or ahead_ms > MAX_CLOCK_SKEW_MS:
             return
         if msgspec.structs.replace(own, born_ms=record.born_ms) == record:
             self.row_kept = True
             self.directory.replace_own(record)
+        elif ahead_ms >= 0:
+            later = msgspec.structs.replace(own, born_ms=record.born_ms + 1)
+            self.directory.replace_own(later)
 
     async def _compare(self):
         known = set(self.directory.members)
--- a/goldcresthoist/fleet/tests/test_registration.py
+++ b/goldcresthoist/fleet/tests/test_registration.py
@@ -190,6 +190,33 @@
             self.assertEqual(decode_record(row), own)
         self.assertEqual(len(registration.directory.members), 4)
 
+    async def test_clock_behind_that_of_the_earlier_process(self):
+        """Guards against an address that others keep for the service it had before.
+
+        The address is used again by an instance of another service, whose clock is
+        behind. Others ignore a record that seems to be older than the one they know.
+        """
+        await self.start_fleet(2)
+        known = make_record("10.0.0.1", "ledger", born_ms=5000)
+        self.store.values[MEMBER_PREFIX + "10.0.0.1"] = encode_record(known)
+        other = self.make_registration(0, born_ms=5000)
+        await other._register()
+        registration = self.make_registration(1, born_ms=2000, service="desk")
+        await registration._register()
+        record = decode_record(self.store.values[MEMBER_PREFIX + "10.0.0.1"])
+        self.assertEqual(record, registration.directory.own)
+        self.assertTrue(other.directory.merge_record(record))
+        self.assertEqual(other.directory.members["10.0.0.1"].service, "desk")
+
+    async def test_row_is_kept_although_the_clock_is_behind(self):
+        """Guards against a write for each daemon whose clock was set back."""
+        await self.start_fleet(2)
+        self.store.puts = 0
+        registration = self.make_registration(1, born_ms=0)
+        await registration._register()
+        self.assertTrue(registration.row_kept)
+        self.assertEqual(self.store.puts, 0)
+
     async def test_row_from_the_future_is_not_kept(self):
         """Guards against a forged start time that outlives all later records."""
         forged = make_record("10.0.0.0", born_ms=1 << 60)
--- a/goldcresthoist/node/assembly.py
+++ b/goldcresthoist/node/assembly.py
@@ -239,8 +239,10 @@
         self.log.event("service changed", was=earlier.service, now=settings.service)
         self.own.service = settings.service
         self.entry.caller_service = settings.service.encode()
+        # The clock may have been set back since the last record.
+        born_ms = max(int(time.time() * 1000), self.directory.own.born_ms + 1)
         self.record = msgspec.structs.replace(
-            self.record, service=settings.service, born_ms=int(time.time() * 1000)
+            self.record, service=settings.service, born_ms=born_ms
         )
         self.directory.replace_own(self.record)
         self.services.own = self.record
