Remove members that stop for good

Cause, found by reading: members were never removed. An instance that is taken away kept its part of the retry budget, its place in the order of the watchers and in the tree of configurations, its row, which every start reads, and a connection attempt every 2 s from each daemon that had selected it. A fleet whose instances come and go grows for ever.

Change: a daemon that stops after its upstream has left removes its row, if it is still the one of this process, and tells all others, who close their links to it. Old records are ignored for 30 s. A daemon that is killed, or whose upstream runs on, stays a member.

Tests: removal, late and forged messages, a successor with a clock behind, a row that is in use again, a stop without the store, parts of the budget, and through real nodes.

--- a/goldcresthoist/fleet/directory.py
+++ b/goldcresthoist/fleet/directory.py
@@ -2,10 +2,13 @@
 
 import asyncio
 import hashlib
+from dataclasses import dataclass
+from time import monotonic
 
 from goldcresthoist.fleet.messages import (
     Departed,
     MemberAnnouncement,
+    MemberLeft,
     MemberRecord,
     Roster,
     RosterRequest,
@@ -21,17 +24,38 @@
 MAX_LOGGED_MEMBERS = 5
 # Departures kept on behalf of other daemons. The oldest is dropped beyond this number.
 MAX_DEPARTURES = 2000
+# Time for which a record of a member that has left is ignored. Old records are still
+# under way when it leaves. Afterwards a record may also be one of a successor with a
+# clock that is behind.
+LEFT_MEMORY_S = 30.0
 # Number of daemons that fetch a new configuration from the same daemon first. Fleets of
 # up to the second number fetch it from the daemons that watch the store.
 FETCH_FANOUT = 16
 MAX_DIRECT_MEMBERS = 64
 
 
+@dataclass(frozen=True, slots=True)
+class _LeftMember:
+    """A member that has left.
+
+    Its records with a start time of up to ``born_ms`` are ignored until the monotonic
+    time ``ignored_until``.
+    """
+
+    born_ms: int
+    ignored_until: float
+
+    def excludes(self, record, now):
+        """Return whether a record is one of the daemon that has left."""
+        return record.born_ms <= self.born_ms and now < self.ignored_until
+
+
 class Directory:
     """The known members and the last departure of each one's upstream.
 
-    A later record of an address replaces the earlier one. Members are never removed: a
-    daemon that is gone has no open link, so no requests are sent to it.
+    A later record of an address replaces the earlier one. A member is removed only when
+    its daemon says that it stops for good. One that is gone without a word has no open
+    link, so no requests are sent to it.
 
     Parameters
     ----------
@@ -49,10 +73,14 @@
     departures : dict
         The last `Departed` by address of the acknowledging daemon. That daemon gets it
         back after a restart, and then does not use the upstream that has left.
+    left : dict
+        `_LeftMember` by address, for members that have left lately.
     unlogged : list of str
         Address and service of the members that changed since the last log line.
     on_member : callable or None
         Called with each new or changed `MemberRecord`.
+    on_member_left : callable or None
+        Called with the last `MemberRecord` of each member that is removed.
     on_departure : callable or None
         Called with each `Departed` that this daemon acknowledged for the local
         upstream, possibly before a restart.
@@ -67,7 +95,9 @@
         self.log = log
         self.members = {own.ip: own}
         self.departures = {}
+        self.left = {}
         self.on_member = None
+        self.on_member_left = None
         self.on_departure = None
         self.on_knee = None
         self.unlogged = []
@@ -76,6 +106,7 @@
         channel.handlers[MemberAnnouncement] = lambda message, _: self.merge_record(
             message.member
         )
+        channel.handlers[MemberLeft] = self._on_member_left
         channel.handlers[Roster] = self._on_roster
         channel.handlers[RosterRequest] = self._on_roster_request
         channel.handlers[Departed] = lambda message, _: self.add_departure(message)
@@ -106,13 +137,16 @@
         """Add a record unless one with the same or a later time is known.
 
         Return whether it was added. A record with the address of this daemon is never
-        added.
+        added, nor is one of a member that has left lately.
         """
         if not isinstance(record, MemberRecord) or record.ip == self.own.ip:
             return False
         known = self.members.get(record.ip)
         if known is not None and known.born_ms >= record.born_ms:
             return False
+        left = self.left.get(record.ip)
+        if left is not None and left.excludes(record, monotonic()):
+            return False
         self.members[record.ip] = record
         self._ranks = self._digest = None
         changed = known is None or known.service != record.service
@@ -126,6 +160,11 @@
         self.own = self.members[record.ip] = record
         self._digest = None
 
+    def leave(self):
+        """Tell the other daemons that this one stops for good."""
+        message = MemberLeft(self.own.ip, self.own.born_ms)
+        self.channel.send(message, self.other_addresses())
+
     def add_departure(self, departed):
         """Store an acknowledged departure unless a later one is known.
 
@@ -220,6 +259,23 @@
         self.add_departure(departed)
         self.channel.send(departed, self.other_addresses())
 
+    def _on_member_left(self, message, sender):
+        if sender != message.ip or message.ip == self.own.ip:
+            return
+        now = monotonic()
+        self.left = {
+            ip: item for ip, item in self.left.items() if item.ignored_until > now
+        }
+        self.left[message.ip] = _LeftMember(message.born_ms, now + LEFT_MEMORY_S)
+        record = self.members.get(message.ip)
+        if record is None or record.born_ms > message.born_ms:
+            return
+        del self.members[message.ip]
+        self._ranks = self._digest = None
+        self.unlogged.append(f"{message.ip} left")
+        if self.on_member_left is not None:
+            self.on_member_left(record)
+
     def _on_roster(self, message, _sender):
         for record in message.members:
             self.merge_record(record)
--- a/goldcresthoist/fleet/messages.py
+++ b/goldcresthoist/fleet/messages.py
@@ -6,6 +6,7 @@
     "Departed",
     "KneeVerdict",
     "MemberAnnouncement",
+    "MemberLeft",
     "MemberRecord",
     "Roster",
     "RosterRequest",
@@ -128,6 +129,16 @@
     age_ms: int
 
 
+class MemberLeft(msgspec.Struct, frozen=True, array_like=True, tag=10):
+    """The sender stops for good, as its upstream has left.
+
+    ``born_ms`` is that of its `MemberRecord`; a later record of the address is valid.
+    """
+
+    ip: str
+    born_ms: int
+
+
 Datagram = (
     VersionReport
     | MemberAnnouncement
@@ -138,6 +149,7 @@
     | SuspectNotice
     | KneeVerdict
     | VersionNotice
+    | MemberLeft
 )
 
 _record = msgspec.msgpack.Decoder(MemberRecord)
--- a/goldcresthoist/fleet/registration.py
+++ b/goldcresthoist/fleet/registration.py
@@ -54,6 +54,10 @@
 # Longest time for which the acknowledgement of a departure waits for the store. The
 # upstream waits 1 s for the acknowledgement.
 DEPARTURE_TIMEOUT_S = 0.4
+# Longest time for which a daemon that stops for good waits for the store, and the pause
+# after which it tells the others once more, as datagrams may be lost.
+LEAVE_TIMEOUT_S = 0.3
+LEAVE_REPEAT_S = 0.1
 
 
 class Registration:
@@ -80,6 +84,8 @@
     rows_loaded : asyncio.Event
         Set after the rows have been read for the first time. Departures that an earlier
         process of this daemon acknowledged are known from then on.
+    row_version : int or None
+        Version of this daemon's row; None while it is not known.
     written_at : float
         Monotonic time at which this daemon's row was last written, or a further write
         was started; 0 before the first write.
@@ -92,6 +98,7 @@
         self.log = log
         self.bootstrap = bootstrap
         self.row_kept = False
+        self.row_version = None
         self.rows_loaded = asyncio.Event()
         self.written_at = 0.0
         self.tasks = set()
@@ -138,6 +145,19 @@
         if self.watch.is_first_watcher():
             self._start_task(self._attempt(self._compare))
 
+    async def leave(self):
+        """Remove this daemon's row, and tell the others that it stops for good.
+
+        It takes `LEAVE_TIMEOUT_S` and `LEAVE_REPEAT_S` at most. The row is removed only
+        if it is still the one of this process: a call without a response may take
+        effect later, when another instance may have the address.
+        """
+        self.directory.leave()
+        if self.row_version is not None:
+            await self._attempt(self._remove_row)
+        await asyncio.sleep(LEAVE_REPEAT_S)
+        self.directory.leave()
+
     async def record_departure(self, departed):
         """Try to write a departure to the store, for at most `DEPARTURE_TIMEOUT_S`.
 
@@ -187,9 +207,15 @@
     async def _write(self):
         own = self.directory.own
         values = {MEMBER_PREFIX + own.ip: encode_record(own)}
+        self.row_version = None
         await self.store.put(MEMBER_TABLE, values)
         self.written_at = monotonic()
 
+    async def _remove_row(self):
+        key = MEMBER_PREFIX + self.directory.own.ip
+        version = self.row_version
+        await self.store.remove(MEMBER_TABLE, key, version, LEAVE_TIMEOUT_S)
+
     async def _read(self):
         """Process all rows; return the addresses of the members that have a row."""
         registered = set()
@@ -214,6 +240,8 @@
             registered.add(record.ip)
             if record.ip == self.directory.own.ip:
                 self._keep_row(record)
+                is_own = record == self.directory.own
+                self.row_version = row.version if is_own else None
             else:
                 self.directory.merge_record(record)
         elif row.key.startswith(DEPARTED_PREFIX):
--- a/goldcresthoist/fleet/tests/builders.py
+++ b/goldcresthoist/fleet/tests/builders.py
@@ -3,6 +3,7 @@
 from collections import Counter
 
 from goldcresthoist.fleet.messages import MemberRecord, RosterRequest
+from goldcresthoist.platform import Row, RowPage, WriteConflict
 
 __all__ = ["FakeChannel", "FakeCounters", "FakeLog", "FakeStore", "make_record"]
 
@@ -56,6 +57,7 @@
 
     def __init__(self, rows=()):
         self.values = dict(rows)
+        self.versions = Counter()
         self.error = None
         self.puts = self.reads = 0
 
@@ -65,17 +67,27 @@
         if self.error is not None:
             raise self.error
         self.values.update(values)
+        self.versions.update(values.keys())
+
+    async def remove(self, table, key, version, timeout_s=1.0):
+        """Remove a row of this version, or raise ``error`` or `WriteConflict`."""
+        if self.error is not None:
+            raise self.error
+        if self.versions[key] != version:
+            raise WriteConflict("the row has another version")
+        del self.values[key]
 
     async def rows(self, table, first="", timeout_s=1.0):
         """Return one page of rows, or raise ``error``."""
-        from goldcresthoist.platform import Row, RowPage
-
         self.reads += 1
         if self.error is not None:
             raise self.error
         keys = sorted(key for key in self.values if key >= first)
         next_key = keys[PAGE_ROWS - 1] if len(keys) > PAGE_ROWS else ""
-        rows = [Row(key, self.values[key], 1, False) for key in keys[:PAGE_ROWS]]
+        rows = [
+            Row(key, self.values[key], self.versions[key], False)
+            for key in keys[:PAGE_ROWS]
+        ]
         return RowPage(tuple(rows), 1, next_key)
 
 
--- a/goldcresthoist/fleet/tests/test_registration.py
+++ b/goldcresthoist/fleet/tests/test_registration.py
@@ -8,6 +8,7 @@
 from goldcresthoist.fleet.messages import (
     Departed,
     MemberAnnouncement,
+    MemberLeft,
     RosterRequest,
     RowMissing,
     decode_record,
@@ -226,6 +227,39 @@
         self.assertEqual(registration.directory.own.born_ms, 9)
         self.assertEqual(self.store.puts, 1)
 
+    async def test_daemon_that_stops_for_good_removes_its_row(self):
+        """Guards against rows of instances that are gone, which every start reads."""
+        await self.start_fleet(3)
+        registration = self.make_registration(1, born_ms=9)
+        await registration._register()
+        await registration.leave()
+        self.assertNotIn(MEMBER_PREFIX + "10.0.0.1", self.store.values)
+        self.assertEqual(len(self.store.values), 2)
+        own = registration.directory.own
+        left = [item for item, ips in self.channels[-1].sent if len(ips) == 2]
+        self.assertEqual(left, 2 * [MemberLeft("10.0.0.1", own.born_ms)])
+
+    async def test_row_of_a_successor_is_not_removed(self):
+        """Guards against a late call that removes the row of another instance.
+
+        The address is in use again when the daemon that had it leaves.
+        """
+        await self.start_fleet(3)
+        registration = self.make_registration(1, born_ms=9)
+        await registration._register()
+        await self.make_registration(1, 20, "desk")._register()
+        await registration.leave()
+        self.assertIn(MEMBER_PREFIX + "10.0.0.1", self.store.values)
+
+    async def test_daemon_leaves_without_the_store(self):
+        """Guards against a stop that waits for the store or fails."""
+        await self.start_fleet(3)
+        registration = self.make_registration(1, born_ms=9)
+        await registration._register()
+        self.store.error = StoreUnavailable("the store is down")
+        await registration.leave()
+        self.assertEqual(len(self.store.values), 3)
+
     async def test_members_are_requested_after_the_announcements(self):
         """Guards against a fleet in which each daemon is sent all members at its start.
 
--- a/goldcresthoist/fleet/tests/test_watch.py
+++ b/goldcresthoist/fleet/tests/test_watch.py
@@ -4,12 +4,14 @@
 import unittest
 import zlib
 from time import monotonic
+from unittest import mock
 
 from goldcresthoist.fleet import ConfigurationWatch, Directory
-from goldcresthoist.fleet.directory import _rank_key
+from goldcresthoist.fleet.directory import LEFT_MEMORY_S, _rank_key
 from goldcresthoist.fleet.messages import (
     Departed,
     MemberAnnouncement,
+    MemberLeft,
     Roster,
     VersionNotice,
     VersionReport,
@@ -329,6 +331,47 @@
         self.assertLess(len(str(fields)), 400)
         self.assertEqual(fields["digest"], self.directory.digest().hex())
 
+    def test_member_that_leaves_is_removed(self):
+        """Guards against a fleet that keeps every instance it ever had.
+
+        Each of them had a part of the retry budget, a connection attempt every 2 s from
+        the daemons that had selected it, and a place among the watchers of the store.
+        """
+        removed = []
+        self.directory.on_member_left = removed.append
+        for number in (2, 3):
+            self.directory.merge_record(make_record(f"10.0.0.{number}", born_ms=5))
+        before = self.directory.digest()
+        self.channel.deliver(MemberLeft("10.0.0.2", 5), "10.0.0.2")
+        self.channel.deliver(MemberLeft("10.0.0.2", 5), "10.0.0.2")
+        self.assertEqual([record.ip for record in removed], ["10.0.0.2"])
+        self.assertEqual(set(self.directory.members), {"10.0.0.1", "10.0.0.3"})
+        self.assertNotEqual(self.directory.digest(), before)
+        late = make_record("10.0.0.2", born_ms=5)
+        self.assertFalse(self.directory.merge_record(late))
+        self.assertTrue(self.directory.merge_record(make_record("10.0.0.2", "desk", 6)))
+
+    def test_only_the_last_daemon_of_an_address_can_leave(self):
+        """Guards against a live member that is removed.
+
+        Another daemon says that it leaves, or the message of an earlier process comes
+        late.
+        """
+        self.directory.merge_record(make_record("10.0.0.2", born_ms=5))
+        self.channel.deliver(MemberLeft("10.0.0.2", 9), "10.0.0.3")
+        self.channel.deliver(MemberLeft("10.0.0.2", 4), "10.0.0.2")
+        self.channel.deliver(MemberLeft("10.0.0.1", 9), "10.0.0.1")
+        self.assertEqual(set(self.directory.members), {"10.0.0.1", "10.0.0.2"})
+
+    def test_successor_with_a_clock_behind_is_found(self):
+        """Guards against an instance that nobody calls since its clock was set back."""
+        self.directory.merge_record(make_record("10.0.0.2", born_ms=5))
+        self.channel.deliver(MemberLeft("10.0.0.2", 5), "10.0.0.2")
+        successor = make_record("10.0.0.2", "desk", born_ms=4)
+        later = monotonic() + LEFT_MEMORY_S
+        with mock.patch("goldcresthoist.fleet.directory.monotonic", lambda: later):
+            self.assertTrue(self.directory.merge_record(successor))
+
     def test_own_record_is_not_replaced(self):
         """Guards against a forged row that replaces the daemon's own record."""
         self.directory.merge_record(make_record("10.0.0.1", "desk", born_ms=99))
--- a/goldcresthoist/node/assembly.py
+++ b/goldcresthoist/node/assembly.py
@@ -180,6 +180,7 @@
 
     def _connect_components(self):
         self.directory.on_member = self.services.add_member
+        self.directory.on_member_left = self.services.remove_member
         self.watch.on_routing_table = self._apply_table
         self.watch.on_store_recovered = self.registration.store_recovered
         self.server.configuration_content = self.watch.current_content
--- a/goldcresthoist/node/lifecycle.py
+++ b/goldcresthoist/node/lifecycle.py
@@ -29,6 +29,9 @@
 UPSTREAM_LINGER_SHARE = 0.85
 # Share of the platform's stop grace period after which running requests are cut off.
 CUT_OFF_SHARE = 0.93
+# Share of the grace period until which a daemon whose upstream has left may take the
+# time to leave the fleet.
+LEAVE_SHARE = 0.85
 # Interval of the checks while draining whether requests or calls are still in progress.
 POLL_S = 0.05
 # Interval of the checks for a changed settings file.
@@ -139,6 +142,10 @@
             if not node.busy():
                 break
         await asyncio.sleep(POLL_S)
+    if node.own.leaving and monotonic() < started + LEAVE_SHARE * grace_s:
+        # The upstream has ended, so the instance is being taken away or its upstream
+        # replaced; a successor registers again.
+        await node.registration.leave()
     cut = node.entry.in_progress
     node.log.event("stopped", cut=cut, after_s=round(monotonic() - started, 2))
 
--- a/goldcresthoist/node/services.py
+++ b/goldcresthoist/node/services.py
@@ -194,9 +194,18 @@
             return
         subset = self.service(record.service).subset
         subset.add(record.ip, record.failure_domain, record.region)
-        if not self.update_pending:
-            self.update_pending = True
-            self.call_soon(self.update_links)
+        self._schedule_update()
+
+    def remove_member(self, record):
+        """Remove a member that has left; running calls there continue."""
+        if self.members.pop(record.ip, None) is None:
+            return
+        self.service(record.service).subset.discard(record.ip)
+        self._remove_view(record)
+        self.links.close_when_idle(record.ip)
+        for service in self.services.values():
+            service.budget.set_daemon_count(len(self.members))
+        self._schedule_update()
 
     async def run(self):
         """Replace upstreams that cannot be called, until cancelled."""
@@ -242,6 +251,11 @@
             raise LinkClosed(f"no link to {ip}")
         return await peer.link.fetch_configuration()
 
+    def _schedule_update(self):
+        if not self.update_pending:
+            self.update_pending = True
+            self.call_soon(self.update_links)
+
     def _find_down(self, now):
         down = set()
         for ip, view in self.views.items():
--- a/goldcresthoist/node/tests/test_path.py
+++ b/goldcresthoist/node/tests/test_path.py
@@ -7,6 +7,7 @@
 from time import monotonic
 
 from goldcresthoist.balance.slots import PACE_MAX_AGE_S
+from goldcresthoist.fleet.registration import MEMBER_PREFIX, MEMBER_TABLE
 from goldcresthoist.node.assembly import METRICS_PORT
 from goldcresthoist.node.lifecycle import drain
 from goldcresthoist.node.tests.loopback_cluster import (
@@ -247,6 +248,22 @@
             self.assert_served(*await self.site.call(self.first, "/read/1"))
         self.assertEqual(target.runs, [])
 
+    async def test_daemon_of_a_departed_upstream_leaves_the_fleet(self):
+        """Guards against a fleet that keeps every instance it ever had.
+
+        A daemon that stops while its upstream runs stays a member, since it is back
+        soon.
+        """
+        await self.site.targets[self.second].drain()
+        for ip in (self.second, self.third):
+            await drain(self.site.nodes[ip])
+        directory = self.site.nodes[self.first].directory
+        await wait_until(lambda: self.second not in directory.members)
+        self.assertIn(self.third, directory.members)
+        rows = {key for table, key in self.site.store.rows if table == MEMBER_TABLE}
+        self.assertNotIn(MEMBER_PREFIX + self.second, rows)
+        self.assertIn(MEMBER_PREFIX + self.third, rows)
+
     async def test_departure_survives_a_daemon_restart(self):
         """Guards against calls to an upstream that departed before a daemon restart.
 
--- a/goldcresthoist/node/tests/test_services.py
+++ b/goldcresthoist/node/tests/test_services.py
@@ -51,6 +51,20 @@
         self.links.report("10.0.0.2", READY)
         self.assertFalse(self.services.views["10.0.0.2"].draining)
 
+    def test_member_that_left_gives_back_its_part_of_the_budget(self):
+        """Guards against connection attempts to an instance that is gone for good."""
+        budget = self.services.service("listen").budget
+        before = budget.capacity
+        record = make_record("10.0.0.2", "listen")
+        self.services.add_member(record)
+        self.assertLess(budget.capacity, before)
+        self.services.remove_member(record)
+        self.services.update_links()
+        self.assertEqual(budget.capacity, before)
+        self.assertEqual(self.links.closed_peers, ["10.0.0.2"])
+        self.assertNotIn("10.0.0.2", self.services.views)
+        self.assertEqual(self.services.service("listen").subset.select(), [])
+
     def test_bandwidth_between_instances_is_that_of_the_thinner_link(self):
         """Guards against large responses that are sent over a thin link.
 
