--- a/goldcresthoist/daemon/upload_handler.py
+++ b/goldcresthoist/daemon/upload_handler.py
@@ -4,7 +4,6 @@
 sends the whole body in one request.
 """
 
-import asyncio
 import re
 
 from goldcresthoist.callers import BadRequest, CallerRequest
@@ -83,7 +82,6 @@
         self.target = call.target
         self.service = call.route.name
         self.key = call.key
-        self.loop = asyncio.get_running_loop()
         self.deadline = call.deadline
 
     async def send_offset(self):
