Count the upstreams that can be called in the test of lost daemons

It waited for two views that do not drain, and those of the two lost daemons satisfied that at once, since a lost daemon does not say that it drains. The request was then sent before the first load report of the two that replace them.

Change: the test waits until exactly two upstreams can be called.

--- a/goldcresthoist/node/tests/test_link_subset.py
+++ b/goldcresthoist/node/tests/test_link_subset.py
@@ -2,6 +2,7 @@
 
 import unittest
 from functools import partial
+from time import monotonic
 from unittest import mock
 
 from goldcresthoist.balance import UpstreamSubset
@@ -41,8 +42,13 @@
         for ip in self.linked():
             await self.site.stop_node(ip)
         await wait_until(lambda: len(self.linked()) == 4)
-        service = self.entry.services.service("listen")
-        await wait_until(lambda: sum(not view.draining for view in service.pool) >= 2)
+        services = self.entry.services
+        service = services.service("listen")
+        # The lost ones stay selected and are not known to drain, so those are counted
+        # that can be called.
+        await wait_until(
+            lambda: services.count_alternatives(service, monotonic(), ()) == 2
+        )
         _, answer = await self.site.call(self.entry.settings.ip, "/read/a")
         self.assertEqual(answer.status, 200)
 
