Show how long a daemon has known of a newer configuration, and which connections fail

On call could not tell from the logs of a late configuration over which connection a call to the store went, which version was wanted and for how long. A failed call now says whether its connection was new or for how long it had been idle, the log lines name the wanted version, and configuration_behind_s is a metric.

--- a/goldcresthoist/fleet/configuration.py
+++ b/goldcresthoist/fleet/configuration.py
@@ -128,6 +128,9 @@
         is in force then, and is not confirmed as the newest.
     reports : dict
         The latest `_WatcherReport` by the address of its sender.
+    newer_known_since : float or None
+        Monotonic time since which a newer version, which the store had confirmed, is
+        known from other daemons and not in force here; None when there is none.
     shortfall_since : float or None
         Monotonic time since which fewer than `WATCHER_COUNT` daemons ranked before this
         one have been watching the store; None while there are enough.
@@ -148,6 +151,7 @@
         self.newest_malformed = False
         self.cursor = None
         self.reports = {}
+        self.newer_known_since = None
         self.shortfall_since = None
         self.failures = 0
         self.watching_store = False
@@ -191,6 +195,15 @@
         """
         return now - self.confirmed_at
 
+    def behind_s(self, now):
+        """Return the time for which a newer version has been known, in seconds.
+
+        It is 0 while the newest known version is in force. ``now`` is the current
+        monotonic time.
+        """
+        since = self.newer_known_since
+        return 0.0 if since is None else now - since
+
     def current_content(self):
         """Return the `ConfigurationContent` to send to a daemon that fetches it."""
         return ConfigurationContent(self.version, self._age_ms(), self.content)
@@ -307,8 +320,13 @@
         if table.version <= self.version:
             return True
         count = len(table.routes)
+        behind_s = round(self.behind_s(monotonic()), 2)
         self.log.event(
-            "configuration", version=table.version, was=self.version, routes=count
+            "configuration",
+            version=table.version,
+            was=self.version,
+            routes=count,
+            behind_s=behind_s,
         )
         if table.unknown:
             self.log.event(
@@ -318,6 +336,7 @@
                 unknown=table.unknown[:MAX_LOGGED_UNKNOWN],
             )
         self.version = table.version
+        self.newer_known_since = None
         self.table = table
         self.content = zlib.compress(content)
         if self.on_routing_table is not None:
@@ -389,6 +408,8 @@
             self.fetch_handle = None
         if version <= self.version:
             return
+        if self.newer_known_since is None:
+            self.newer_known_since = monotonic()
         if self.fetch_task is None or self.fetch_task.done():
             loop = asyncio.get_running_loop()
             self.fetch_task = loop.create_task(self._fetch(version, sources))
@@ -414,7 +435,13 @@
                     age_s += self.pauses.input_age_s()
                     self.confirmed_at = monotonic() - age_s
         except (TimeoutError, LinkError, OSError, zlib.error, ValueError) as exc:
-            self.log.event("configuration not fetched", ip=ip, error=repr(exc))
+            self.log.event(
+                "configuration not fetched",
+                ip=ip,
+                version=version,
+                behind_s=round(self.behind_s(monotonic()), 2),
+                error=repr(exc),
+            )
 
     def _notify_dependents(self):
         notice = VersionNotice(self.directory.own.ip, self.version, self._age_ms())
--- a/goldcresthoist/node/assembly.py
+++ b/goldcresthoist/node/assembly.py
@@ -9,6 +9,7 @@
 from goldcresthoist.addresses import split_address
 from goldcresthoist.balance import CrashSuspects
 from goldcresthoist.callers import CallerServer, ConnectionLimits
+from goldcresthoist.clock import monotonic
 from goldcresthoist.fleet import (
     ConfigurationWatch,
     Directory,
@@ -199,6 +200,9 @@
         self.counters.gauge("queued", lambda: len(self.server.queue.waiting))
         self.counters.gauge("transfer_bytes", lambda: self.transfers.used)
         self.counters.gauge("configuration_version", lambda: self.watch.version)
+        self.counters.gauge(
+            "configuration_behind_s", lambda: self.watch.behind_s(monotonic())
+        )
         self.counters.gauge("configuration_unknown", self._count_unknown)
         self.counters.count_from("log_lines_dropped", lambda: self.log.dropped)
 
--- a/goldcresthoist/platform/store.py
+++ b/goldcresthoist/platform/store.py
@@ -11,6 +11,7 @@
 from goldcresthoist.access.errors import CallFailed, CallNotSent
 from goldcresthoist.access.gate import CallGate, GateLimits
 from goldcresthoist.addresses import split_address
+from goldcresthoist.clock import monotonic
 from goldcresthoist.platform.errors import (
     HistoryGone,
     InvalidMessage,
@@ -124,7 +125,9 @@
         self.host, self.port = split_address(address)
         self.counters = counters
         self.gate = CallGate("store", GATE_LIMITS)
-        self.idle = []
+        # Connections without a call, each with the monotonic time since which it has
+        # none; the last one is used first.
+        self.idle = {}
         self.connections = set()
 
     async def rows(self, table, first="", timeout_s=CALL_TIMEOUT_S):
@@ -251,7 +254,7 @@
         CallFailed
             When there is no complete response before the deadline.
         """
-        connection = await self._get_connection(deadline)
+        connection, idle_s = await self._get_connection(deadline)
         target = f"/{name}?{urlencode(query)}" if query else f"/{name}"
         head = f"{method} {target} HTTP/1.1\r\nHost: {self.address}\r\n"
         if body is not None:
@@ -273,13 +276,16 @@
         except (UpstreamError, TimeoutError) as exc:
             connection.close()
             reason = str(exc) or "no response before the deadline"
-            raise CallFailed(reason) from exc
+            kept = (
+                "new connection" if idle_s is None else f"idle before: {idle_s:.2f} s"
+            )
+            raise CallFailed(f"{reason} ({kept})") from exc
         except BaseException:
             connection.close()
             raise
         status = answer.status
         if connection.release():
-            self.idle.append(connection)
+            self.idle[connection] = monotonic()
         if status == TOO_MANY_REQUESTS:
             self.gate.reduce_concurrency()
         if status in (TOO_MANY_REQUESTS, 503):
@@ -287,10 +293,11 @@
         return status, b"".join(parts)
 
     async def _get_connection(self, deadline):
+        """Return a connection, and the seconds for which it was idle; None if new."""
         while self.idle:
-            connection = self.idle.pop()
+            connection, idle_since = self.idle.popitem()
             if connection.is_clean():
-                return connection
+                return connection, monotonic() - idle_since
             connection.close()
         loop = asyncio.get_running_loop()
         try:
@@ -304,12 +311,11 @@
             raise CallNotSent(f"cannot connect to {self.address}: {exc}") from exc
         detect_dead_peer(transport, PEER_TIMEOUT_S)
         self.connections.add(connection)
-        return connection
+        return connection, None
 
     def _on_lost(self, connection):
         self.connections.discard(connection)
-        if connection in self.idle:
-            self.idle.remove(connection)
+        self.idle.pop(connection, None)
 
     def _to_page(self, answer):
         rows = []
--- a/goldcresthoist/telemetry/_catalogue.py
+++ b/goldcresthoist/telemetry/_catalogue.py
@@ -88,6 +88,7 @@
     "datagrams_undelivered": "Datagrams that the network reported as undelivered.",
     "log_lines_dropped": "Log lines lost to the limit on their rate.",
     "configuration_version": "Version of the configuration in force, -1 for none.",
+    "configuration_behind_s": "Time for which a newer configuration has been known.",
     "task_errors": "Background tasks that were started again after an error, by task.",
     "messages_failed": "Messages whose handling raised an unexpected error, by kind.",
     "transfer_bytes": "Memory reserved for large responses, in bytes.",
