--- a/goldcresthoist/fleet/tests/test_watch.py
+++ b/goldcresthoist/fleet/tests/test_watch.py
@@ -20,6 +20,7 @@
     FakeChannel,
     FakeCounters,
     FakeLog,
+    FakeStore,
     make_record,
 )
 from goldcresthoist.links import LinkClosed
@@ -211,6 +212,28 @@
             await self.watch.fetch_task
             self.assertIsNone(self.watch.table)
 
+    async def test_store_is_read_when_no_watcher_can_be_reached(self):
+        """Guards against an old configuration behind connections that fell silent.
+
+        The reports of the watchers are datagrams and arrive, but fetches get no
+        response.
+        """
+
+        async def fetch(_ip):
+            await asyncio.Event().wait()
+
+        store = FakeStore({"config": make_content(9)})
+        self.watch.fetch = fetch
+        self.watch.store = store
+        first, second = self.rank_own_last()[:2]
+        deadline = monotonic() + 1.0
+        while self.watch.version < 9 and monotonic() < deadline:
+            self.deliver_report(first, 9, 10)
+            self.deliver_report(second, 9, 10)
+            await asyncio.sleep(0.1)
+        self.assertEqual(self.watch.version, 9)
+        self.assertEqual(store.reads, 1)
+
     async def test_report_with_another_address_is_ignored(self):
         """Guards against a daemon that sends reports in the name of other watchers."""
         self.channel.deliver(VersionReport("10.0.0.5", 9, 10), "10.0.0.6")
--- a/goldcresthoist/platform/tests/test_store.py
+++ b/goldcresthoist/platform/tests/test_store.py
@@ -13,6 +13,7 @@
     WriteConflict,
 )
 from goldcresthoist.tests.standins.platform_store import PlatformStore
+from goldcresthoist.tests.suspension import suspended_for
 
 TABLE = "members"
 
@@ -106,6 +107,25 @@
         with self.assertRaises(OutcomeUnknown):
             await self.client.rows(TABLE, timeout_s=0.1)
 
+    async def test_connection_that_fell_silent_delays_no_call(self):
+        """Guards against an old configuration at daemons that must take over.
+
+        All connections fell silent while new ones work. The first call on a kept
+        connection waited for its timeout, and so did the next ones.
+        """
+        await asyncio.gather(*(self.client.rows(TABLE) for _ in range(3)))
+        self.store.silence_connections()
+        with suspended_for(2.0):
+            await self.client.rows(TABLE, timeout_s=0.5)
+
+    async def test_other_connections_are_closed_after_one_fell_silent(self):
+        """Guards against calls that meet one silent connection after the other."""
+        await asyncio.gather(*(self.client.rows(TABLE) for _ in range(3)))
+        self.store.silence_connections()
+        with self.assertRaises(OutcomeUnknown):
+            await self.client.rows(TABLE, timeout_s=0.1)
+        await self.client.rows(TABLE, timeout_s=0.5)
+
     async def test_calls_stop_while_the_store_is_down(self):
         """Guards against calls at full rate to a store that is down.
 
--- a/goldcresthoist/tests/standins/platform_store.py
+++ b/goldcresthoist/tests/standins/platform_store.py
@@ -27,6 +27,10 @@
         self.rows = {}
         self.faults = {}
         self.calls = 0
+        # Transports of the connections on which calls arrived, and of those that fell
+        # silent.
+        self.transports = set()
+        self.silenced = set()
         self.runner = None
 
     async def start(self, host, port):
@@ -49,6 +53,10 @@
         self.version += 1
         self.rows[(table, key)] = (value, self.version, False)
 
+    def silence_connections(self):
+        """Let all open connections deliver nothing any more; new ones work."""
+        self.silenced |= self.transports
+
     async def _set_faults(self, request):
         self.faults = await request.json()
         table = self.faults.pop("forget", None)
@@ -56,16 +64,20 @@
             del self.rows[key]
         return web.Response()
 
-    async def _apply_faults(self):
+    async def _apply_faults(self, request):
         self.calls += 1
+        self.transports.add(request.transport)
         await asyncio.sleep(self.faults.get("delay_s", 0))
-        while self.faults.get("silent"):  # noqa: ASYNC110
+        while self._is_silent(request):  # noqa: ASYNC110
             await asyncio.sleep(POLL_INTERVAL_S)
         if self.faults.get("down"):
             raise web.HTTPServiceUnavailable
 
+    def _is_silent(self, request):
+        return self.faults.get("silent") or request.transport in self.silenced
+
     async def _get(self, request):
-        await self._apply_faults()
+        await self._apply_faults(request)
         first_key = request.query.get("from", "")
         table = request.query["table"]
         limit = min(int(request.query.get("limit", MAX_ROWS)), MAX_ROWS)
@@ -77,7 +89,7 @@
         return self._rows_response(items[:limit], len(items) > limit)
 
     async def _feed(self, request):
-        await self._apply_faults()
+        await self._apply_faults(request)
         after = int(request.query["after"])
         loop = asyncio.get_running_loop()
         end_time = loop.time() + int(request.query["wait_ms"]) / 1000
@@ -87,13 +99,16 @@
                 for key, row in self.rows.items()
                 if key[0] == request.query["table"] and row[1] > after
             ]
+            if self._is_silent(request):
+                await asyncio.sleep(POLL_INTERVAL_S)
+                continue
             if changed or loop.time() >= end_time:
                 changed.sort(key=lambda item: item[1][1])
                 return self._rows_response(changed)
             await asyncio.sleep(POLL_INTERVAL_S)
 
     async def _transact(self, request):
-        await self._apply_faults()
+        await self._apply_faults(request)
         body = await request.json()
         for row in body["expect"]:
             known = self.rows.get((row["table"], row["key"]))
