Reach the newest configuration when connections have fallen silent

Cause: version reports are datagrams and arrive, so a daemon took the watchers for reachable; but it fetched over the link that it keeps to the watcher, which delivered nothing, and repeated that over the same link until the link was closed, 4 s after a ping. The daemons that took over as watchers read the store on connections that were as silent, for 1 s or more each. The class: what arrives on one path was taken as proof that another one works, and a retry went the way that had just failed.

Now a fetch opens a new link besides when the kept one has not answered in 0.15 s; a daemon that reaches no other one reads the store; calls to the store use no connection that was idle for over 1 s, close the idle ones after a time-out, and the watch repeats a call without a response at once.

Tests of the watch that had no store get an empty one, since a failed fetch now reads it.

--- a/goldcresthoist/fleet/configuration.py
+++ b/goldcresthoist/fleet/configuration.py
@@ -17,6 +17,7 @@
     CONFIGURATION_KEY,
     CONFIGURATION_TABLE,
     HistoryGone,
+    OutcomeUnknown,
     PlatformFormatError,
     StoreError,
     decode_configuration,
@@ -65,6 +66,9 @@
 # Time for which a daemon waits for a newer version from its `Directory.source`, after
 # which it fetches the version from the watcher that has reported it.
 SOURCE_WAIT_S = 0.25
+# When no daemon can be reached, the store is read instead. The reads of the whole fleet
+# are spread so that there are this many a second.
+FLEET_READS_PER_S = 2000.0
 # Limit on the decompressed size of a configuration received from another daemon.
 MAX_CONTENT_BYTES = 8 * 1024 * 1024
 
@@ -216,11 +220,18 @@
                 await asyncio.sleep(ROLE_CHECK_INTERVAL_S)
                 continue
             self._begin_watching()
-            if await self._poll_store():
-                self.failures = 0
-            else:
+            try:
+                await self._poll_store()
+            except (StoreError, PlatformFormatError) as exc:
                 self.failures += 1
+                if self.failures == 1:
+                    self.log.event("store lost", error=str(exc))
+                    if isinstance(exc, OutcomeUnknown):
+                        # The connection may have fallen silent, and a new one may work.
+                        continue
                 await asyncio.sleep(self._retry_pause_s())
+            else:
+                self.failures = 0
 
     def _begin_watching(self):
         if not self.watching_store:
@@ -263,10 +274,15 @@
         return pause_s * random.uniform(0.6, 1.4)
 
     async def _poll_store(self):
-        """Make one call to the store; return whether the store responded as expected.
+        """Make one call to the store and process its response.
+
+        When the store no longer has the changes since `cursor`, the next call reads the
+        rows again.
 
-        When the store no longer has the changes since `cursor`, that is not a failure:
-        the next call reads the rows again.
+        Raises
+        ------
+        StoreError, PlatformFormatError
+            When the store did not respond as expected.
         """
         try:
             if self.cursor is None or self.table is None:
@@ -278,26 +294,16 @@
         except HistoryGone:
             self.log.event("store history gone", cursor=self.cursor)
             self.cursor = None
-            return True
-        except (StoreError, PlatformFormatError) as exc:
-            if not self.failures:
-                self.log.event("store lost", error=str(exc))
-            return False
+            return
         if self.failures:
             self.log.event("store regained", failures=self.failures)
             if self.on_store_recovered is not None:
                 self.on_store_recovered()
         await self._process_page(page)
-        return True
 
     async def _process_page(self, page):
         self.cursor = max(page.version, self.cursor or 0)
-        for row in page.rows:
-            if row.key == CONFIGURATION_KEY and not row.removed:
-                self.newest_malformed = not self._apply(row.value)
-        self.watched_at = monotonic() - self.pauses.input_age_s()
-        if not self.newest_malformed:
-            self.confirmed_at = self.watched_at
+        self.watched_at = self._apply_page(page)
         if page.rows:
             self._send_version_report()
             await asyncio.sleep(CHANGE_BATCH_S)
@@ -306,6 +312,16 @@
             # would be requested in a loop.
             await asyncio.sleep(CHANGE_BATCH_S)
 
+    def _apply_page(self, page):
+        """Put the newest configuration in force; return the time of the response."""
+        for row in page.rows:
+            if row.key == CONFIGURATION_KEY and not row.removed:
+                self.newest_malformed = not self._apply(row.value)
+        responded_at = monotonic() - self.pauses.input_age_s()
+        if not self.newest_malformed:
+            self.confirmed_at = responded_at
+        return responded_at
+
     def _apply(self, content):
         """Put a configuration in force unless it is older; return whether it is valid.
 
@@ -418,8 +434,24 @@
         for ip in sources:
             await self._fetch_from(ip, version)
             if self.version >= version:
-                self._notify_dependents()
-                return
+                break
+        else:
+            await self._read_store(version)
+        if self.version >= version:
+            self._notify_dependents()
+
+    async def _read_store(self, version):
+        """Read the store, as no daemon that has a newer version can be reached."""
+        spread_s = len(self.directory.members) / FLEET_READS_PER_S
+        await asyncio.sleep(random.uniform(0.0, spread_s))
+        if self.version >= version:
+            return
+        try:
+            page = await self.store.rows(CONFIGURATION_TABLE, CONFIGURATION_KEY)
+        except (StoreError, PlatformFormatError) as exc:
+            self.log.event("configuration not read", version=version, error=str(exc))
+        else:
+            self._apply_page(page)
 
     async def _fetch_from(self, ip, version):
         """Fetch the configuration of a daemon; one older than ``version`` is dropped.
--- a/goldcresthoist/fleet/tests/test_watch.py
+++ b/goldcresthoist/fleet/tests/test_watch.py
@@ -47,7 +47,7 @@
         self.counters = FakeCounters()
         self.watch = ConfigurationWatch(
             self.directory,
-            None,
+            FakeStore(),
             self.fetch,
             self.log,
             self.counters,
--- a/goldcresthoist/node/services.py
+++ b/goldcresthoist/node/services.py
@@ -31,6 +31,9 @@
 # the time after which another one is used in their place.
 SUBSET_CHECK_INTERVAL_S = 0.5
 REPLACE_AFTER_S = 2.0
+# Time in which a link responds to the fetch of a configuration before a new link is
+# opened besides.
+LINK_RESPONSE_S = 0.15
 
 
 class ServiceState:
@@ -234,6 +237,9 @@
     async def fetch_configuration(self, ip):
         """Return the `ConfigurationContent` of another daemon.
 
+        When the link to that daemon does not respond within `LINK_RESPONSE_S`, a new
+        one is opened besides, since the link may have fallen silent.
+
         Raises
         ------
         OSError, TimeoutError, LinkError
@@ -241,15 +247,24 @@
         """
         peer = self.links.peers.get(ip)
         if peer is None:
-            link = await self.links.open_once(_LinkTarget(ip, self.link_port))
-            try:
-                return await link.fetch_configuration()
-            finally:
-                link.close("not-needed")
-        await peer.first_attempt_done.wait()
-        if peer.link is None:
-            raise LinkClosed(f"no link to {ip}")
-        return await peer.link.fetch_configuration()
+            return await self._fetch_over_new_link(ip)
+        kept = asyncio.create_task(_fetch_over_kept_link(peer))
+        tasks = {kept}
+        try:
+            await asyncio.wait(tasks, timeout=LINK_RESPONSE_S)
+            if not kept.done() or kept.exception() is not None:
+                tasks.add(asyncio.create_task(self._fetch_over_new_link(ip)))
+            return await _first_success(tasks)
+        finally:
+            for task in tasks:
+                task.cancel()
+
+    async def _fetch_over_new_link(self, ip):
+        link = await self.links.open_once(_LinkTarget(ip, self.link_port))
+        try:
+            return await link.fetch_configuration()
+        finally:
+            link.close("not-needed")
 
     def _schedule_update(self):
         if not self.update_pending:
@@ -378,6 +393,25 @@
         return record_report
 
 
+async def _fetch_over_kept_link(peer):
+    await peer.first_attempt_done.wait()
+    if peer.link is None:
+        raise LinkClosed(f"no link to {peer.instance}")
+    return await peer.link.fetch_configuration()
+
+
+async def _first_success(tasks):
+    """Return the first result of some tasks; raise an error once all have failed."""
+    pending = tasks
+    while True:
+        done, pending = await asyncio.wait(pending, return_when=asyncio.FIRST_COMPLETED)
+        for task in done:
+            if task.exception() is None:
+                return task.result()
+        if not pending:
+            raise done.pop().exception()
+
+
 def _link_s_per_byte(own, other):
     """Return the time to transfer one byte between two instances, in seconds.
 
--- a/goldcresthoist/platform/store.py
+++ b/goldcresthoist/platform/store.py
@@ -38,6 +38,9 @@
 # The site's data sheet says that the store responds within 4 ms, but at times it takes
 # up to 60 times as long.
 CALL_TIMEOUT_S = 1.0
+# A connection may fall silent without a reset. One that has been idle for longer is not
+# used again, since the next call on it would wait for its whole timeout.
+MAX_IDLE_S = 1.0
 # A long poll times out this long after the end of the wait that it requests.
 LONG_POLL_MARGIN_S = 0.6
 MAX_PAGE_ROWS = 500
@@ -275,6 +278,8 @@
                         )
         except (UpstreamError, TimeoutError) as exc:
             connection.close()
+            if isinstance(exc, TimeoutError):
+                self._close_idle_connections()
             reason = str(exc) or "no response before the deadline"
             kept = (
                 "new connection" if idle_s is None else f"idle before: {idle_s:.2f} s"
@@ -296,8 +301,9 @@
         """Return a connection, and the seconds for which it was idle; None if new."""
         while self.idle:
             connection, idle_since = self.idle.popitem()
-            if connection.is_clean():
-                return connection, monotonic() - idle_since
+            idle_s = monotonic() - idle_since
+            if idle_s <= MAX_IDLE_S and connection.is_clean():
+                return connection, idle_s
             connection.close()
         loop = asyncio.get_running_loop()
         try:
@@ -313,6 +319,12 @@
         self.connections.add(connection)
         return connection, None
 
+    def _close_idle_connections(self):
+        """Close the connections that may have fallen silent with another one."""
+        for connection in tuple(self.idle):
+            connection.close()
+        self.idle.clear()
+
     def _on_lost(self, connection):
         self.connections.discard(connection)
         self.idle.pop(connection, None)
