Show the limit that an upstream names, and the requests sent to it

Nothing told which limit a daemon knows, nor calls from probes. The response field is decoded now, a change is logged, and two metrics show it. Calls are started as before.

--- a/goldcresthoist/node/assembly.py
+++ b/goldcresthoist/node/assembly.py
@@ -198,6 +198,7 @@
         self.counters.gauge("members", lambda: len(self.directory.members))
         self.counters.gauge("in_flight", lambda: self.server.queue.running)
         self.counters.gauge("queued", lambda: len(self.server.queue.waiting))
+        self.counters.gauge("upstream_limit_per_s", self._upstream_limit)
         self.counters.gauge("transfer_bytes", lambda: self.transfers.used)
         self.counters.gauge("configuration_version", lambda: self.watch.version)
         self.counters.gauge(
@@ -308,6 +309,10 @@
     def _count_unknown(self):
         return 0 if self.watch.table is None else len(self.watch.table.unknown)
 
+    def _upstream_limit(self):
+        limit_per_s = self.server.limit_per_s
+        return -1.0 if limit_per_s is None else limit_per_s
+
     def _health_path(self):
         table = self.watch.table
         return None if table is None else table.services.get(self.own.service)
--- a/goldcresthoist/node/call_execution.py
+++ b/goldcresthoist/node/call_execution.py
@@ -222,6 +222,7 @@
         answer = await self.connection.head()
         fields = parse_response_fields(answer.headers)
         server.queue.pace.record(fields.pace, monotonic())
+        server.update_limit(fields.limit_per_s)
         if fields.not_executed and self._refuse_if_not_run(answer, fields):
             return False
         return await self._relay_answer(answer, fields)
@@ -238,6 +239,7 @@
         headers = addressed_headers(message.headers, own.identity, time_left_ms)
         writer = RequestWriter(message, time_left_ms, headers)
         data = writer.start()
+        self.server.counters.add("upstream_requests", kind="call")
         self.connection.expect(self.request_id)
         self.connection.send(data, message.method == "HEAD")
         if not message.end:
--- a/goldcresthoist/node/pace_probe.py
+++ b/goldcresthoist/node/pace_probe.py
@@ -115,7 +115,10 @@
         try:
             async with asyncio.timeout(PROBE_TIMEOUT_S):
                 answer = await self.fetch(path)
-            pace = parse_response_fields(answer.headers).pace
+            fields = parse_response_fields(answer.headers)
+            pace = fields.pace
+            if fields.limit_per_s is not None:
+                self.server.update_limit(fields.limit_per_s)
         except TimeoutError:
             reason = f"no answer within {PROBE_TIMEOUT_S} s"
         except (UpstreamError, OSError, RuntimeError) as exc:
@@ -135,6 +138,7 @@
         pool = self.server.pool
         connection = acquire_recent_idle(pool, MAX_IDLE_S) or await pool.acquire()
         try:
+            self.counters.add("upstream_requests", kind="probe")
             connection.expect(None)
             host = f"{pool.host}:{pool.port}"
             head = f"GET {path} HTTP/1.1\r\nHost: {host}\r\n\r\n"
--- a/goldcresthoist/node/serving.py
+++ b/goldcresthoist/node/serving.py
@@ -59,6 +59,8 @@
         Assigns the slots of the local upstream to calls.
     probe : PaceProbe
         Fetches the pace of the local upstream when the queue requests it.
+    limit_per_s : float or None
+        Requests a second that the local upstream takes, as it names in its responses.
     draining : bool
         Whether this daemon is stopping and refuses all calls. The local upstream may
         drain separately; see `LocalUpstream.leaving`.
@@ -79,6 +81,7 @@
         self.queue.on_knee_verdict = self._on_local_knee_verdict
         self.probe = PaceProbe(self, counters, log)
         self.queue.request_pace = self.probe.trigger
+        self.limit_per_s = None
         self.draining = False
         # Result of `refusal_reason` when `upstream_changed` last announced the load.
         # The initial value is no valid result, so that the first change is announced.
@@ -128,6 +131,17 @@
             round(self.failure_share(now), 2),
         )
 
+    def update_limit(self, limit_per_s):
+        """Record the limit that the local upstream names, or None when it names none.
+
+        Responses to calls decide, since each of them names the limit while it is in
+        force. Health checks only add one.
+        """
+        if limit_per_s == self.limit_per_s:
+            return
+        self.log.event("upstream limit", per_s=limit_per_s, was=self.limit_per_s)
+        self.limit_per_s = limit_per_s
+
     def failure_share(self, now):
         """Return the share of recent calls that failed, from 0 to 1.
 
--- a/goldcresthoist/platform/fields.py
+++ b/goldcresthoist/platform/fields.py
@@ -22,6 +22,7 @@
 _NOT_EXECUTED = b"not-executed"
 _SERVER_LOAD = b"server-load"
 _CONTENT_ENCODING = b"content-encoding"
+_SERVER_LIMIT = b"server-limit"
 _INSTANCE_ID = b"instance-id"
 
 # Fields that a daemon sets in requests to an upstream; those of the caller are removed.
@@ -68,6 +69,11 @@
     pace : float
         Ratio of the current to the usual processing time; 0 when the response does not
         give it.
+    identity : str or None
+        Identity of the upstream.
+    limit_per_s : float or None
+        Requests a second that the upstream takes from all daemons together; None when
+        it names no limit.
     """
 
     request_id: bytes | None
@@ -79,6 +85,7 @@
     slots: int
     pace: float
     identity: str | None = None
+    limit_per_s: float | None = None
 
 
 def parse_request_fields(headers):
@@ -147,7 +154,7 @@
 
 
 def parse_response_fields(headers):
-    """Return the `ResponseFields`; a malformed load is ignored.
+    """Return the `ResponseFields`; a malformed load or limit is ignored.
 
     The load has the form ``running,waiting,slots`` or, with the pace in percent,
     ``running,waiting,slots,pace``.
@@ -175,9 +182,19 @@
         slots,
         max(0.0, pace),
         _identity(header_value(headers, _INSTANCE_ID)),
+        _limit_per_s(header_value(headers, _SERVER_LIMIT)),
     )
 
 
+def _limit_per_s(value):
+    """Return a limit that is a finite decimal number and not negative, or None."""
+    try:
+        limit = float(value)
+    except (TypeError, ValueError):
+        return None
+    return limit if 0.0 <= limit < math.inf else None
+
+
 def _identity(value):
     """Return a valid identity as text, or None."""
     if not value or len(value) > MAX_IDENTITY_BYTES or not value.isascii():
--- a/goldcresthoist/telemetry/_catalogue.py
+++ b/goldcresthoist/telemetry/_catalogue.py
@@ -81,6 +81,8 @@
     "answers": "Errors of the daemon itself on the platform, by status, code.",
     "calls_refused": "Calls that the serving daemon refused, by code.",
     "upstream_failures": "Calls that ended without a complete response, by kind.",
+    "upstream_requests": "Requests sent to the local upstream, by kind.",
+    "upstream_limit_per_s": "Limit that the local upstream names, -1 for none.",
     "upstream_refusals": "Calls that the local upstream refused, by status.",
     "announcements": "Heartbeats and deregistrations received, by outcome.",
     "store_calls": "Calls to the platform's store, by call and outcome.",
