Start no more calls at an upstream than the limit it names

The daemon beside the upstream is the only one that reaches it, so the limit is kept there, for the calls of all daemons: a token bucket in front of the slots, with a tenth of a second as the largest burst. A call that can't start goes to another upstream while there is one, waits if it can still be in time, and is refused at once otherwise, with the wait as Retry-After. Load reports show as many slots as the limit keeps in use, so that the chooser prefers others. The limit ends with the first response to a call that does not name it; a limit of zero is one call a second, or no response could end it. Class: a statement of the upstream that the daemon passes on and does not act on.

--- a/goldcresthoist/balance/__init__.py
+++ b/goldcresthoist/balance/__init__.py
@@ -27,6 +27,7 @@
 from goldcresthoist.balance.latency_chooser import LatencyChooser
 from goldcresthoist.balance.pace import PaceEstimator
 from goldcresthoist.balance.policy import Default, Naive, Policy, get_policy
+from goldcresthoist.balance.rate_limit import RateLimit
 from goldcresthoist.balance.shared_budget import SharedRetryBudget
 from goldcresthoist.balance.slots import SlotCall, SlotQueue
 from goldcresthoist.balance.subset import UpstreamSubset
@@ -49,6 +50,7 @@
     "PaceEstimator",
     "Policy",
     "ProbeBudget",
+    "RateLimit",
     "RetryBudget",
     "Saturated",
     "SharedRetryBudget",
--- a/goldcresthoist/balance/slots.py
+++ b/goldcresthoist/balance/slots.py
@@ -7,11 +7,13 @@
 
 import asyncio
 import enum
+import math
 from dataclasses import dataclass
 
 from goldcresthoist.balance.errors import Draining, Saturated
 from goldcresthoist.balance.knee import KneeDetector
 from goldcresthoist.balance.pace import PaceEstimator
+from goldcresthoist.balance.rate_limit import RateLimit
 
 __all__ = ["SlotCall", "SlotQueue"]
 
@@ -141,6 +143,8 @@
         Pace of the upstream.
     knee : KneeDetector
         Detects whether the upstream slows down when nearly full.
+    rate : RateLimit
+        Limit that the upstream names on the calls that start in one second.
     request_pace : callable or None
         ``request_pace()`` requests a new pace sample from the upstream without waiting
         for it. Once the sample has been recorded, `dispatch` must be called. While
@@ -156,6 +160,7 @@
         self.slots = slots
         self.pace = PaceEstimator()
         self.knee = KneeDetector()
+        self.rate = RateLimit()
         self.running = 0
         self.waiting = []
         self.service_s = {}
@@ -209,18 +214,30 @@
             return limit
         return max(1, limit - int(RESERVED_SLOTS_SHARE * limit))
 
+    def usable_slots(self):
+        """Return the number of slots that are in use at the limit on the rate.
+
+        It is at most `slots`, and at least 1.
+        """
+        if self.rate.per_s is None:
+            return self.slots
+        in_use = math.ceil(self.rate.per_s * self.mean_service_s())
+        return max(1, min(self.slots, in_use))
+
     def expected_wait_s(self, call, now):
         """Return the expected queueing time of a new call, in seconds."""
         rank = self._rank(call, now)
         before = sum(1 for item in self.waiting if self._rank(item.call, now) <= rank)
+        rate_wait_s = self.rate.wait_s(now, before)
         # The second part of the rank of short work is 0.
         free = self.limit_for(rank[1] == 0) - self.running
         if before < free:
-            return 0.0
+            return rate_wait_s
         pace = self.pace.expected(now)
         # Without any response, the other calls are taken to be like this one.
         mean_s = self.mean_s or self.usual_s(call, now)
-        return (before - free + 1) * mean_s * pace / max(1, self.slots)
+        slot_wait_s = (before - free + 1) * mean_s * pace / max(1, self.slots)
+        return max(rate_wait_s, slot_wait_s)
 
     def admit(self, call, now):
         """Assign a slot to the call, or queue it.
@@ -248,12 +265,12 @@
                 limit = min(limit, max(1, int(NEARLY_FULL_SHARE * self.slots)))
             if self._too_slow_for(call, usual_s, now):
                 raise Saturated(MIN_RETRY_AFTER_S)
-        paused = now < self.paused_until and self.running
+        paused = self._is_paused(now)
         ahead = self.waiting if not short else self._waiting_short_calls()
         if self.running < limit and not ahead and not paused:
             start = self._decide_start(usual_s, now)
             if start is _StartDecision.START:
-                self.running += 1
+                self._take_slot(now)
                 return None
             if start is _StartDecision.WAIT and call.alternatives > 0:
                 raise Saturated(MIN_RETRY_AFTER_S)
@@ -336,7 +353,7 @@
         alternatives, and is refused otherwise.
         """
         while self.waiting and self.running < self.slots:
-            if now < self.paused_until and self.running:
+            if self._is_paused(now):
                 return
             waiter = self._next_waiter(now)
             call = waiter.call
@@ -355,7 +372,7 @@
             self.waiting.remove(waiter)
             if waiter.future.done():
                 continue
-            self.running += 1
+            self._take_slot(now)
             waiter.future.set_result(None)
 
     def expire(self, now):
@@ -386,6 +403,15 @@
                 self.waiting.remove(waiter)
                 return
 
+    def _is_paused(self, now):
+        """Return whether no call may start now, whatever slots are free."""
+        after_rejection = now < self.paused_until and self.running > 0
+        return after_rejection or self.rate.wait_s(now) > 0.0
+
+    def _take_slot(self, now):
+        self.running += 1
+        self.rate.take(now)
+
     def _too_slow_for(self, call, usual_s, now):
         """Return whether the upstream is too slow for the call to end in time.
 
--- a/goldcresthoist/node/serving.py
+++ b/goldcresthoist/node/serving.py
@@ -121,7 +121,7 @@
         return LoadReport(
             queue.running,
             len(queue.waiting),
-            queue.slots,
+            queue.usable_slots(),
             round(queue.mean_service_s() * 1000),
             self.refusal_reason() is not None,
             clock_ms(now),
@@ -141,6 +141,8 @@
             return
         self.log.event("upstream limit", per_s=limit_per_s, was=self.limit_per_s)
         self.limit_per_s = limit_per_s
+        self.queue.rate.set(limit_per_s, monotonic())
+        self.announce_load()
 
     def failure_share(self, now):
         """Return the share of recent calls that failed, from 0 to 1.
@@ -181,6 +183,7 @@
         """
         if is_new:
             self.queue.draining = False
+            self.update_limit(None)
             self._close_idle_connections()
             # The pace must be known before the first calls, or they may start in a slow
             # phase of the instance.
--- a/goldcresthoist/tests/standins/platform_target.py
+++ b/goldcresthoist/tests/standins/platform_target.py
@@ -73,6 +73,8 @@
         self.pace = 100
         self.health_hangs = False
         self.healthy = True
+        # Header fields that every response has besides the usual ones.
+        self.extra_fields = []
         # Number of further responses that break off.
         self.breaks = 0
         # Number of health checks received.
@@ -286,7 +288,8 @@
         ]
         if "request-id" in self.headers:
             lines.append(f"Request-Id: {self.headers['request-id']}")
-        lines.extend(f"{name}: {value}" for name, value in headers)
+        fields = (*headers, *target.extra_fields)
+        lines.extend(f"{name}: {value}" for name, value in fields)
         if length is not None:
             lines.append(f"Content-Length: {len(body) if length < 0 else length}")
         self.transport.write("\r\n".join(lines).encode() + b"\r\n\r\n" + body)
