Stop calls to an upstream that states in a response that it leaves

DRAIN is broken by a request that reaches such an upstream later than drain_s after a daemon had passed that on. The daemon learned of departures from announcements only; those are lost while it is down or does not hear its upstream.

The daemon beside the upstream takes the statement of the current run, in a response to a call or to a health check, like a departure that was announced: no further calls, recorded in the store and at the other daemons, so that it holds after a restart. A response of an earlier run has no effect.

Evidence: the new test fails without the handler (the upstream goes on to get calls until its announcements say more) and passes with it, over a restart too.

--- a/goldcresthoist/node/announcements.py
+++ b/goldcresthoist/node/announcements.py
@@ -54,6 +54,8 @@
         self.log = log
         self.counters = counters
         self.started_at = monotonic()
+        self.tasks = set()
+        server.on_leaving = self._on_leaving
         directory.on_departure = self._on_earlier_departure
 
     async def handle(self, request, exchange):
@@ -121,6 +123,17 @@
         await self._record_departure(departure.identity, departure.born_ms)
         self.server.upstream_changed(False)
 
+    def _on_leaving(self, identity, born_ms):
+        """Record a departure that the upstream states in a response.
+
+        No announcement may have told it, as those are lost while this daemon is down.
+        """
+        self.counters.add("announcements", outcome="leaving")
+        self.log.event("upstream leaves", upstream=identity, stated_in="response")
+        task = asyncio.create_task(self._record_departure(identity, born_ms))
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
+
     async def _record_departure(self, identity, born_ms):
         """Stop the calls to a run, and record its departure at the other daemons.
 
--- a/goldcresthoist/node/call_execution.py
+++ b/goldcresthoist/node/call_execution.py
@@ -114,6 +114,7 @@
         "server",
         "slot_call",
         "started_at",
+        "upstream_run",
     )
 
     def __init__(self, server, call, slot_call, future):
@@ -124,6 +125,8 @@
         self.request_id = parse_request_fields(call.open.headers).request_id
         self.connection = None
         self.sender = None
+        # Identity and start time of the run of the upstream that gets the call.
+        self.upstream_run = None
         # Whether the call has released its slot and its connection.
         self.ended = False
 
@@ -223,6 +226,8 @@
         fields = parse_response_fields(answer.headers)
         server.queue.pace.record(fields.pace, monotonic())
         server.update_limit(fields.limit_per_s)
+        if fields.leaving:
+            server.apply_leaving(*self.upstream_run)
         if fields.not_executed and self._refuse_if_not_run(answer, fields):
             return False
         return await self._relay_answer(answer, fields)
@@ -236,6 +241,7 @@
     def _send_request(self, message):
         own = self.server.own
         time_left_ms = max(1, int((self.slot_call.deadline - monotonic()) * 1000))
+        self.upstream_run = (own.identity, own.born_ms)
         headers = addressed_headers(message.headers, own.identity, time_left_ms)
         writer = RequestWriter(message, time_left_ms, headers)
         data = writer.start()
--- a/goldcresthoist/node/pace_probe.py
+++ b/goldcresthoist/node/pace_probe.py
@@ -119,6 +119,8 @@
             pace = fields.pace
             if fields.limit_per_s is not None:
                 self.server.update_limit(fields.limit_per_s)
+            if fields.leaving:
+                self.server.apply_leaving(fields.identity, self.server.own.born_ms)
         except TimeoutError:
             reason = f"no answer within {PROBE_TIMEOUT_S} s"
         except (UpstreamError, OSError, RuntimeError) as exc:
--- a/goldcresthoist/node/serving.py
+++ b/goldcresthoist/node/serving.py
@@ -101,6 +101,9 @@
         # Called with a request's fingerprint and crash count when this daemon changes
         # the count.
         self.on_suspect = lambda fingerprint, count: None
+        # Called with the identity and the start time of the current run of the local
+        # upstream when a response states that it leaves.
+        self.on_leaving = lambda identity, born_ms: None
         # Called with two booleans: each verdict of this daemon on whether the local
         # upstream is slower when nearly all of its slots are in use (see
         # `KneeDetector`), and whether this verdict lowered the slot limit.
@@ -144,6 +147,15 @@
         self.queue.rate.set(limit_per_s, monotonic())
         self.announce_load()
 
+    def apply_leaving(self, identity, born_ms):
+        """Apply a response in which a run of the local upstream states that it leaves.
+
+        A response of another run than the current one has no effect.
+        """
+        own = self.own
+        if (identity, born_ms) == (own.identity, own.born_ms) and not own.leaving:
+            self.on_leaving(identity, born_ms)
+
     def failure_share(self, now):
         """Return the share of recent calls that failed, from 0 to 1.
 
--- a/goldcresthoist/node/tests/test_named_limits.py
+++ b/goldcresthoist/node/tests/test_named_limits.py
@@ -4,7 +4,7 @@
 import unittest
 from time import monotonic
 
-from goldcresthoist.node.tests.loopback_cluster import LoopbackCluster
+from goldcresthoist.node.tests.loopback_cluster import LoopbackCluster, wait_until
 
 LIMIT_PER_S = 10.0
 WINDOW_S = 4.0
@@ -51,3 +51,39 @@
         await self.call_for(2.0)
         statuses = await self.call_for(1.0)
         self.assertEqual(set(statuses), {200})
+
+
+class NamedDepartureTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self):
+        self.cluster = LoopbackCluster(["listen", "listen", "ledger"])
+        await self.cluster.start()
+        self.leaving_ip, _, self.entry_ip = self.cluster.ips
+        self.target = self.cluster.targets[self.leaving_ip]
+
+    async def asyncTearDown(self):
+        await self.cluster.stop()
+
+    async def call_all(self):
+        """Send four reads to each daemon in turn, and check that all succeed."""
+        for ip in self.cluster.ips * 4:
+            _, answer = await self.cluster.call(ip, "/read/x")
+            self.assertEqual(answer.status, 200)
+
+    async def test_upstream_that_states_its_departure_gets_no_calls(self):
+        """Guards against calls to an upstream whose announcements were lost.
+
+        It states in its responses that it leaves, and its heartbeats still say that it
+        is ready. The daemon beside it is restarted afterwards.
+        """
+        self.target.extra_fields = [("Server-Leaving", "1")]
+        node = self.cluster.nodes[self.leaving_ip]
+        await self.call_all()
+        await wait_until(lambda: node.own.leaving)
+        before = len(self.target.runs)
+        await self.call_all()
+        await self.cluster.stop_node(self.leaving_ip)
+        await self.cluster.start_node(self.leaving_ip, "listen")
+        await wait_until(self.cluster.nodes[self.leaving_ip].is_ready)
+        await asyncio.sleep(0.5)
+        await self.call_all()
+        self.assertEqual(len(self.target.runs), before)
--- a/goldcresthoist/platform/fields.py
+++ b/goldcresthoist/platform/fields.py
@@ -23,6 +23,7 @@
 _SERVER_LOAD = b"server-load"
 _CONTENT_ENCODING = b"content-encoding"
 _SERVER_LIMIT = b"server-limit"
+_SERVER_LEAVING = b"server-leaving"
 _INSTANCE_ID = b"instance-id"
 
 # Fields that a daemon sets in requests to an upstream; those of the caller are removed.
@@ -74,6 +75,8 @@
     limit_per_s : float or None
         Requests a second that the upstream takes from all daemons together; None when
         it names no limit.
+    leaving : bool
+        Whether the upstream states that it leaves.
     """
 
     request_id: bytes | None
@@ -86,6 +89,7 @@
     pace: float
     identity: str | None = None
     limit_per_s: float | None = None
+    leaving: bool = False
 
 
 def parse_request_fields(headers):
@@ -183,6 +187,7 @@
         max(0.0, pace),
         _identity(header_value(headers, _INSTANCE_ID)),
         _limit_per_s(header_value(headers, _SERVER_LIMIT)),
+        header_value(headers, _SERVER_LEAVING) == b"1",
     )
 
 
