Never repeat a request on a connection on which it was refused

Report of another operator: an upstream wrote an earlier refusal once more on a kept connection, and callers were told 'not run' for a request that it was running (REFUSED), which could also run a second time elsewhere (TWICE).

It can happen here: a response is matched by the id of its request, and a request that the upstream refused is offered to the same upstream again when all others refuse (the last offer). On the same connection, the late copy of the first refusal has the id of the request that now runs. A connection remembers the ids that were refused on it and does not carry them again. The test failed before (503 while the request ran) and passes now.

--- a/goldcresthoist/node/call_execution.py
+++ b/goldcresthoist/node/call_execution.py
@@ -57,17 +57,19 @@
     return RequestIdConnection(on_lost, response_request_id)
 
 
-def acquire_recent_idle(pool, limit_s):
+def acquire_recent_idle(pool, limit_s, request_id=None):
     """Return a connection that was idle for less than ``limit_s`` seconds, or None.
 
-    Connections that have been idle for longer are closed.
+    Connections that have been idle for longer are closed, and so are those on which the
+    request with this id was refused before.
     """
     now = monotonic()
     while (connection := pool.acquire_idle()) is not None:
         max_idle_s = limit_s
         if connection.idle_limit_s is not None:
             max_idle_s = min(limit_s, connection.idle_limit_s - IDLE_MARGIN_S)
-        if not connection.idle_since or now - connection.idle_since < max_idle_s:
+        recent = not connection.idle_since or now - connection.idle_since < max_idle_s
+        if recent and request_id not in connection.refused_ids:
             return connection
         connection.close()
     return None
@@ -208,7 +210,7 @@
             return False
         try:
             idle_s = MAX_IDLE_REPEATABLE_S if message.repeatable else MAX_IDLE_S
-            self.connection = acquire_recent_idle(server.pool, idle_s)
+            self.connection = acquire_recent_idle(server.pool, idle_s, self.request_id)
             if self.connection is None:
                 self.connection = await server.pool.acquire()
         except ConnectionLimitReached as exc:
@@ -277,6 +279,7 @@
                 server.record_end(True, now)
         else:
             return False
+        self.connection.record_refusal()
         load = server.load_report()
         server.counters.add("upstream_refusals", status=str(answer.status))
         text = f"the upstream answered {answer.status}"
--- a/goldcresthoist/node/tests/loopback_cluster.py
+++ b/goldcresthoist/node/tests/loopback_cluster.py
@@ -193,17 +193,27 @@
         """Return the ids of all executed requests, once for each execution."""
         return [run[0] for target in self.targets.values() for run in target.runs]
 
-    async def call(self, ip, path, method="GET", body=b"", wait_ms=3000, headers=()):
+    async def call(
+        self,
+        ip,
+        path,
+        method="GET",
+        body=b"",
+        wait_ms=3000,
+        headers=(),
+        request_id=None,
+    ):
         """Send one request as a caller on the instance.
 
-        ``wait_ms`` is the value of the ``Deadline-Ms`` header.
+        ``wait_ms`` is the value of the ``Deadline-Ms`` header. Without ``request_id``,
+        the request gets a new id.
 
         Returns
         -------
         (str, Answer)
             The request id and the response.
         """
-        request_id = f"q{next(self.ids)}"
+        request_id = request_id or f"q{next(self.ids)}"
         reader, writer = await asyncio.open_connection(ip, 8629)
         try:
             lines = [f"{method} {path} HTTP/1.1", "Host: site.example"]
--- a/goldcresthoist/node/tests/test_path.py
+++ b/goldcresthoist/node/tests/test_path.py
@@ -50,6 +50,33 @@
         ]
         self.assertEqual([len(body) for body in uploads], [360_000] * 3)
 
+    async def test_late_refusal_does_not_end_the_next_offer(self):
+        """Guards against "not run" for a request that an upstream is running.
+
+        The upstream refused the request, then got it again on the same connection, and
+        its refusal arrived once more, with the same id.
+        """
+        url = "/write/1?fault=late-refusal"
+        _, answer = await self.site.call(self.first, url, "POST", request_id="again")
+        self.assertEqual(answer.status, 503)
+        pool = self.site.nodes[self.third].pool
+        for connection in tuple(pool.idle):
+            if connection.request_id != b"again":
+                pool.idle.remove(connection)
+                connection.close()
+        _, answer = await self.site.call(
+            self.first, "/write/1?ms=300", "POST", request_id="again"
+        )
+        self.assertEqual(answer.status, 200)
+        self.assertEqual(self.site.runs().count("again"), 1)
+
+    async def test_response_that_ends_in_its_head_is_no_success(self):
+        """Guards against a 200 with an empty body that is framed as whole."""
+        for path, method in (("/write/1", "POST"), ("/read/1", "GET")):
+            url = f"{path}?fault=half-head"
+            _, answer = await self.site.call(self.first, url, method)
+            self.assertEqual(answer.status, 502)
+
     async def test_repeated_request_keeps_its_soft_deadline(self):
         """Guards against a soft deadline that is extended by each repetition.
 
--- a/goldcresthoist/tests/standins/platform_target.py
+++ b/goldcresthoist/tests/standins/platform_target.py
@@ -6,9 +6,10 @@
 executed. ``fault`` in the query selects a fault: ``status`` (status 500), ``close`` (no
 response after the execution), ``truncate`` (half of the body), ``extra`` and ``late``
 (a second response, at once or 0.1 s later), ``garbage`` (no HTTP), ``unframed`` (no
-length), ``shed`` (status 503 without execution), ``unsealed`` (no signature) or one of
-`ENDLESS_FAULTS` (bytes until the connection ends). It responds to ``/health`` at once,
-unless ``health_hangs`` is set.
+length), ``shed`` (status 503 without execution), ``late-refusal`` (``shed``, and once
+more 0.1 s later), ``half-head`` (the connection ends in the head), ``unsealed`` (no
+signature) or one of `ENDLESS_FAULTS` (bytes until the connection ends). It responds to
+``/health`` at once, unless ``health_hangs`` is set.
 """
 
 import asyncio
@@ -213,9 +214,12 @@
         if self.headers.get("expect-instance") != target.identity:
             self._write(421, b"", [("Not-Executed", "1")])
             return
-        if fault == "shed" or target.running >= target.slots:
+        if fault in ("shed", "late-refusal") or target.running >= target.slots:
             target.rejected += 1
-            self._write(503, b"", [("Not-Executed", "1")])
+            refusal = (503, b"", [("Not-Executed", "1")])
+            self._write(*refusal)
+            if fault == "late-refusal":
+                self._repeat_later(*refusal)
             return
         run = (request_id, time.monotonic(), self.url.decode(), self.body)
         target.runs.append(run)
@@ -250,6 +254,11 @@
         headers = [] if fault == "unsealed" else [("Response-Seal", seal)]
         if fault == "close":
             self.transport.abort()
+        elif fault == "half-head":
+            head = f"HTTP/1.1 200 X\r\nRequest-Id: {request_id}\r\n"
+            head += f"Response-Seal: {seal}\r\nContent-Len"
+            self.transport.write(head.encode())
+            self.transport.close()
         elif fault == "garbage":
             self.transport.write(bytes(range(256)))
         elif fault == "truncate":
@@ -266,15 +275,15 @@
             if fault == "extra":
                 self._write(200, b"junk", headers)
             elif fault == "late":
-                self._repeat_later(body, headers)
+                self._repeat_later(200, body, headers)
 
-    def _repeat_later(self, body, headers):
+    def _repeat_later(self, status, body, headers):
         request_id = self.headers.get("request-id", "")
 
         def repeat():
             now = self.headers.get("request-id")
             self.headers["request-id"] = request_id
-            self._write(200, body, headers)
+            self._write(status, body, headers)
             self.headers["request-id"] = now or ""
 
         asyncio.get_running_loop().call_later(LATE_COPY_S, repeat)
--- a/goldcresthoist/upstreams/request_id_connection.py
+++ b/goldcresthoist/upstreams/request_id_connection.py
@@ -13,6 +13,8 @@
 # Limit on the body bytes of these responses, so that an endless one is not received
 # until the deadline of the request.
 MAX_UNMATCHED_BYTES = 4 * 1024 * 1024
+# The connection is not reused after this many refused requests, whose ids it remembers.
+MAX_REFUSED_REQUESTS = 1000
 
 
 class RequestIdConnection(UpstreamConnection):
@@ -36,6 +38,9 @@
     unmatched_count, unmatched_bytes : int
         Responses to other requests since the last request was sent, and the size of
         their bodies.
+    refused_ids : set of bytes
+        Ids of the requests that the upstream refused on this connection. None of them
+        may be sent on it again: a late copy of the refusal would have its id.
     idle_since : float
         Monotonic time at which the connection became idle; 0 when it has not been used.
     idle_limit_s : float or None
@@ -50,6 +55,7 @@
         self.unmatched_count = 0
         self.unmatched_bytes = 0
         self.close_delimited = False
+        self.refused_ids = set()
         self.idle_since = 0.0
         self.idle_limit_s = None
 
@@ -61,6 +67,12 @@
         self.unmatched_bytes = 0
         self.close_delimited = False
 
+    def record_refusal(self):
+        """Remember that the upstream refused the current request without running it."""
+        self.refused_ids.add(self.request_id)
+        if len(self.refused_ids) >= MAX_REFUSED_REQUESTS:
+            self.reusable = False
+
     def matches(self, request_id):
         """Return whether a response with this id, or None, is for the request."""
         return request_id == self.request_id
