Ignore records and announcements with impossible values

Report of another operator: one odd entry among those of the targets, deeply nested, with a number too large or a port out of range, ended the readers again and again or stopped them following the list.

It can happen here, in part. Nested rows and numbers beyond 64 bits were ignored already. A member row whose address is none (999.1.1.1, a name) was taken over and passed on: the socket raises ValueError for it, so announcements to all members ended there, and the task that reads and compares rows ended with an error each time. A bandwidth that is not a number made the choice of upstream undefined; a start time of 10^30 in a heartbeat could not be stored nor be followed by an earlier one. Records from rows and datagrams are checked now, and heartbeats and deregistrations have bounds. Both tests failed before.

--- a/goldcresthoist/fleet/directory.py
+++ b/goldcresthoist/fleet/directory.py
@@ -12,6 +12,7 @@
     MemberRecord,
     Roster,
     RosterRequest,
+    is_valid,
 )
 
 __all__ = ["Directory"]
@@ -137,10 +138,12 @@
         """Add a record unless one with the same or a later time is known.
 
         Return whether it was added. A record with the address of this daemon is never
-        added, nor is one of a member that has left lately.
+        added, nor is one of a member that has left lately or with impossible values.
         """
         if not isinstance(record, MemberRecord) or record.ip == self.own.ip:
             return False
+        if not is_valid(record):
+            return False
         known = self.members.get(record.ip)
         if known is not None and known.born_ms >= record.born_ms:
             return False
--- a/goldcresthoist/fleet/messages.py
+++ b/goldcresthoist/fleet/messages.py
@@ -1,5 +1,8 @@
 """Datagrams between the daemons of a fleet, and the records kept in the store."""
 
+import ipaddress
+import math
+
 import msgspec
 
 __all__ = [
@@ -16,8 +19,14 @@
     "VersionReport",
     "decode_record",
     "encode_record",
+    "is_valid",
 ]
 
+# Largest size of a text in a record. Ten records fit into a datagram.
+MAX_TEXT_CHARS = 200
+# Start times are Unix milliseconds; a later one than this is that of no daemon.
+MAX_TIME_MS = 2**48
+
 
 class MemberRecord(msgspec.Struct, frozen=True, array_like=True):
     """Address, location and service of one daemon.
@@ -162,12 +171,38 @@
 
 
 def decode_record(value, kind=MemberRecord):
-    """Return the record in a row's value, or None if it is malformed.
+    """Return the record in a row's value, or None if it is malformed or impossible.
 
     ``kind`` is the type of the record: `MemberRecord` or `Departed`.
     """
     decoder = _record if kind is MemberRecord else _departed
     try:
-        return decoder.decode(value)
+        record = decoder.decode(value)
     except (msgspec.MsgspecError, RecursionError):
         return None
+    return record if is_valid(record) else None
+
+
+def is_valid(record):
+    """Return whether the values of a `MemberRecord` or `Departed` are possible.
+
+    Another program may have written the record. The address must be an IPv4 address, as
+    the socket raises an error for any other one.
+    """
+    texts = [item for item in msgspec.structs.astuple(record) if isinstance(item, str)]
+    if any(len(item) > MAX_TEXT_CHARS for item in texts):
+        return False
+    times = [record.born_ms]
+    match record:
+        case MemberRecord(link_mbit_s=link_mbit_s):
+            if not 0.0 <= link_mbit_s < math.inf:
+                return False
+        case Departed(before_ms=before_ms):
+            times.append(before_ms)
+    if not all(0 <= item <= MAX_TIME_MS for item in times):
+        return False
+    try:
+        ipaddress.IPv4Address(record.ip)
+    except ValueError:
+        return False
+    return True
--- a/goldcresthoist/fleet/tests/test_registration.py
+++ b/goldcresthoist/fleet/tests/test_registration.py
@@ -9,6 +9,8 @@
     Departed,
     MemberAnnouncement,
     MemberLeft,
+    MemberRecord,
+    Roster,
     RosterRequest,
     RowMissing,
     decode_record,
@@ -59,6 +61,26 @@
         await self.registration._read()
         self.assertEqual(set(self.directory.members), {"10.0.0.1", "10.0.0.2"})
 
+    async def test_rows_with_impossible_values_are_ignored(self):
+        """Guards against one odd row that stops all daemons from following the rows.
+
+        The socket raises an error for an address that is none, and that ended the task
+        that reads and announces members, again and again.
+        """
+        odd = [make_record(ip) for ip in ("999.1.1.1", "db.example", "10.0.0.256", "")]
+        odd.append(make_record("10.0.0.6", born_ms=2**63))
+        odd.append(make_record("10.0.0.7", service="x" * 60_000))
+        odd += [
+            MemberRecord("10.0.0.8", "i", "a", "r", "ledger", 1, mbit_s)
+            for mbit_s in (float("nan"), float("inf"), -1.0)
+        ]
+        for record in odd:
+            self.store.values[MEMBER_PREFIX + record.ip] = encode_record(record)
+        self.store.values[MEMBER_PREFIX + "10.0.0.9"] = b"\x91" * 50_000
+        await self.registration._read()
+        self.channel.deliver(Roster(tuple(odd)), "10.0.0.2")
+        self.assertEqual(set(self.directory.members), {"10.0.0.1", "10.0.0.2"})
+
     async def test_own_departure_is_remembered(self):
         """Guards against an acknowledged departure that is lost in a restart.
 
--- a/goldcresthoist/platform/announcements.py
+++ b/goldcresthoist/platform/announcements.py
@@ -16,6 +16,10 @@
 ]
 
 MAX_SLOTS = 100_000
+# Largest start time, in Unix milliseconds, and number of an announcement that count as
+# possible.
+MAX_NUMBER = 2**48
+MAX_COLD_S = 3600.0
 
 _PATH = re.compile(r"/Instances\.(Heartbeat|Deregister)/([A-Za-z0-9_.:-]{1,200})")
 
@@ -111,9 +115,9 @@
             f"heartbeat of {identity!r}: {decoded.info.slots} slots, "
             f"expected 1 to {MAX_SLOTS}"
         )
-    if decoded.born < 0 or status.sequence < 0:
+    if not (0 <= decoded.born <= MAX_NUMBER and 0 <= status.sequence <= MAX_NUMBER):
         raise InvalidMessage(
-            f"heartbeat of {identity!r}: born and sequence must not be negative"
+            f"heartbeat of {identity!r}: born and sequence must be 0 to {MAX_NUMBER}"
         )
     return Announcement(
         identity,
@@ -122,7 +126,7 @@
         decoded.info.slots,
         status.state == "draining",
         status.sequence,
-        max(0.0, status.cold_left_s),
+        min(MAX_COLD_S, max(0.0, status.cold_left_s)),
         decoded.born,
     )
 
@@ -133,7 +137,8 @@
     Raises
     ------
     InvalidMessage
-        When the body is not a JSON object, or the start time in it not an integer.
+        When the body is not a JSON object, or the start time in it not an integer or
+        out of range.
     """
     if not body:
         return Departure(identity, 0)
@@ -141,4 +146,8 @@
         decoded = _deregistration.decode(body)
     except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError) as exc:
         raise InvalidMessage(f"departure of {identity!r}: {exc}") from exc
+    if not 0 <= decoded.born <= MAX_NUMBER:
+        raise InvalidMessage(
+            f"departure of {identity!r}: born must be 0 to {MAX_NUMBER}"
+        )
     return Departure(identity, decoded.born)
--- a/goldcresthoist/platform/tests/test_formats.py
+++ b/goldcresthoist/platform/tests/test_formats.py
@@ -101,6 +101,21 @@
             with self.subTest(body=body), self.assertRaises(InvalidMessage):
                 decode_announcement("i-1", body)
 
+    def test_odd_numbers_and_nesting_are_malformed(self):
+        """Guards against one odd announcement that no later one can replace.
+
+        A start time or number that is too large cannot be stored or sent either.
+        """
+        good = b'{"address":"a","info":{"service":"s"},"status":{"state":"ready"}'
+        nested = b"[" * 100_000 + b"]" * 100_000
+        for extra in (b'"born":%d' % 10**30, b'"born":1e400', b'"x":' + nested):
+            with self.assertRaises(InvalidMessage):
+                decode_announcement("i-1", good + b"," + extra + b"}")
+        with self.assertRaises(InvalidMessage):
+            decode_announcement("i-1", good[:-1] + b',"sequence":%d}}' % 10**30)
+        with self.assertRaises(InvalidMessage):
+            decode_departure("i-1", b'{"born":%d}' % 10**30)
+
     def test_departure(self):
         """Guards against a deregistration that is rejected for its empty body."""
         self.assertEqual(decode_departure("i-1", b"").born_ms, 0)
