Let both daemons of the proof of ordered versions watch the store

Traced: the violation needs a late response of the store at a daemon that watches it, and two of the four daemons do, so half of the injected delays had no effect; and four daemons share the requests that could see it.

--- a/goldcresthoist/tests/test_soak.py
+++ b/goldcresthoist/tests/test_soak.py
@@ -3,7 +3,12 @@
 import asyncio
 import unittest
 
-from goldcresthoist.tests.soak.run import FAULTS, GuaranteeViolation, SoakRun
+from goldcresthoist.tests.soak.run import (
+    FAULTS,
+    SERVICES,
+    GuaranteeViolation,
+    SoakRun,
+)
 
 CI_SEED = 20261204
 CI_DURATION_S = 4.0
@@ -41,12 +46,13 @@
     that this mechanism prevents.
     """
 
-    def find(self, disabled, faults, message, interval_s=0.6):
+    def find(self, disabled, faults, message, interval_s=0.6, services=SERVICES):
         """Run seeds until one fails with a message."""
         for seed in range(1, MAX_SEEDS + 1):
             run = SoakRun(
                 seed,
                 DISABLED_DURATION_S,
+                services=services,
                 faults=faults,
                 interval_s=interval_s,
                 disabled=disabled,
@@ -76,7 +82,9 @@
     def test_order_of_versions(self):
         """Without it, a late response of the store puts an older version in force."""
         faults = ("change_configuration", "change_configuration", "delay_store")
-        self.find("order-of-versions", faults, "does not know", interval_s=0.15)
+        # Only daemons that watch the store get late responses; of two, both do.
+        services = ("listen", "ledger")
+        self.find("order-of-versions", faults, "does not know", 0.15, services)
 
     def test_pause_detection(self):
         """Without it, a paused daemon runs requests after their deadline."""
