Let connections fall silent in the soak

All open connections of a daemon can fall silent now while datagrams and new connections pass, and a change follows.

--- a/goldcresthoist/tests/soak/proxy.py
+++ b/goldcresthoist/tests/soak/proxy.py
@@ -26,6 +26,8 @@
         self.delay_s = 0.0
         self.dropped_direction = ""
         self.writers = set()
+        # Writers of the connections that deliver nothing any more.
+        self.silenced = set()
         self.server = None
 
     async def start(self):
@@ -42,8 +44,12 @@
         for writer in tuple(self.writers):
             writer.transport.abort()
 
+    def silence(self):
+        """Let the open connections deliver nothing any more; new ones work."""
+        self.silenced |= self.writers
+
     def clear_faults(self):
-        """Stop delaying and dropping data."""
+        """Stop delaying and dropping data; silent connections stay silent."""
         self.delay_s, self.dropped_direction = 0.0, ""
 
     async def _forward(self, reader, writer):
@@ -61,6 +67,7 @@
             pass
         finally:
             self.writers -= {writer, target_writer}
+            self.silenced -= {writer, target_writer}
             writer.transport.abort()
             target_writer.transport.abort()
 
@@ -68,6 +75,8 @@
         while data := await reader.read(CHUNK_BYTES):
             if self.delay_s:
                 await asyncio.sleep(self.delay_s)
+            if writer in self.silenced:
+                continue
             if self.dropped_direction not in (direction, "both"):
                 writer.write(data)
                 await writer.drain()
--- a/goldcresthoist/tests/soak/run.py
+++ b/goldcresthoist/tests/soak/run.py
@@ -53,6 +53,7 @@
     "delay_peers",
     "reset_peers",
     "isolate",
+    "silence_connections",
     "reset_store_connections",
     "drop_store_traffic",
     "stall_store",
@@ -345,6 +346,18 @@
             proxy.clear_faults()
         self._clear_store_proxy(ip)
 
+    async def _silence_connections(self, ip):
+        """Let all open connections of a daemon fall silent; datagrams still pass.
+
+        A change is made afterwards, which the daemon must learn on new connections.
+        """
+        others = [other for other in self.fleet.ips if other != ip]
+        proxies = [p for other in others for p in self.fleet.proxies_between(ip, other)]
+        for proxy in proxies:
+            proxy.links.silence()
+        self.fleet.proxies[ip].silence()
+        await self._change_configuration(ip)
+
     def _proxies_to_another(self, ip):
         other = self.random.choice([other for other in self.fleet.ips if other != ip])
         return self.fleet.proxies_between(ip, other)
