--- a/goldcresthoist/balance/rate_limit.py
+++ b/goldcresthoist/balance/rate_limit.py
@@ -22,8 +22,7 @@
 
     def __init__(self):
         self.per_s = None
-        # Number of calls that could start at the time below, in monotonic seconds; it
-        # is negative after calls that started although there was no token.
+        # Number of calls that could start at the time below, in monotonic seconds.
         self._tokens = 0.0
         self._counted_at = 0.0
 
@@ -37,8 +36,8 @@
         was_limited = self.per_s is not None
         self.per_s = per_s
         if per_s is not None:
-            limit = self._capacity()
-            self._tokens = min(self._tokens, limit) if was_limited else limit
+            capacity = self._capacity()
+            self._tokens = min(self._tokens, capacity) if was_limited else capacity
 
     def wait_s(self, now, calls_before=0):
         """Return the time in seconds until a call may start.
