--- a/review/standins.py
+++ b/review/standins.py
@@ -211,8 +211,9 @@
 class Target(Server):
     """One target. The query gives the work: ``ms`` milliseconds.
 
-    A path that ends in ``/crash`` ends the process that runs it: every connection is
-    reset and the port is closed; a new incarnation starts after ``down_s`` seconds.
+    A path that ends in ``/crash`` ends the process that runs it, if its service is in
+    ``Site.crashing``: every connection is reset and the port is closed; a new incarnation
+    starts after ``down_s`` seconds.
     """
 
     def __init__(self, site, ip, service, slots=12, down_s=2.0):
@@ -345,7 +346,7 @@
         )
         try:
             path, _, query = target.partition("?")
-            if path.endswith("/crash"):
+            if path.endswith("/crash") and self.service in self.site.crashing:
                 await asyncio.sleep(0.02)
                 self.crash()
                 return
@@ -463,6 +464,8 @@
         self.zones = zones or ["a"] * len(services)
         self.runs = []
         self.answers = []
+        # Services of the targets that such a request crashes.
+        self.crashing = set(services)
         self.numbers = iter(range(1, 1_000_000))
         self.network = self._free_network()
         self.store = Store()
@@ -583,20 +586,22 @@
             for daemon in self.daemons
         )
 
-    async def call(self, daemon, path, method="GET", body=b"", wait_ms=3000):
+    async def call(
+        self, daemon, path, method="GET", body=b"", wait_ms=3000, host=HOST
+    ):
         """Send one request as a client on a machine; return its id and the status.
 
         The status is 0 when the connection ends without a complete response, and -1
         when there is none before the deadline.
         """
         request_id = f"q{next(self.numbers):06d}"
-        self.record(f"client sends {request_id} {method} {path} to {daemon.ip}")
+        self.record(f"client sends {request_id} {method} {host}{path} to {daemon.ip}")
         status = 0
         try:
             async with asyncio.timeout(wait_ms / 1000):
                 reader, writer = await asyncio.open_connection(daemon.ip, 8629)
                 try:
-                    lines = [f"{method} {path} HTTP/1.1", f"Host: {HOST}"]
+                    lines = [f"{method} {path} HTTP/1.1", f"Host: {host}"]
                     lines.append(f"Request-Id: {request_id}")
                     lines.append(f"Deadline-Ms: {wait_ms}")
                     if body:
