--- a/review/standins.py
+++ b/review/standins.py
@@ -628,7 +628,11 @@
             target.stop()
         for daemon in self.daemons:
             if daemon.process is not None and daemon.process.returncode is None:
-                daemon.process.kill()
+                try:
+                    daemon.process.kill()
+                except ProcessLookupError:
+                    # It has ended by itself just now.
+                    pass
                 await daemon.process.wait()
         self.store.stop()
         keep = os.environ.get("KEEP_LOGS")
@@ -681,20 +685,25 @@
 
     async def main():
         site = make_site()
+        task = asyncio.current_task()
+        asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
+        result, text = COULD_NOT_RUN, "could not run: ended by a signal"
         try:
             async with asyncio.timeout(LIMIT_S):
                 held, text = await run(site)
                 result = HELD if held else BROKEN
-        except (CannotRun, TimeoutError, OSError) as exc:
-            result, text = COULD_NOT_RUN, f"could not run: {exc!r}"
-        site.record(f"result: {result}: {text}")
-        await site.stop()
+        except Exception as exc:
+            # An error of the case must not look like a broken rule.
+            text = f"could not run: {exc!r}"
+        finally:
+            site.record(f"result: {result}: {text}")
+            await site.stop()
         print(text)
         return result
 
     try:
         result = asyncio.run(main())
-    except CannotRun as exc:
-        print(f"could not run: {exc}")
+    except (Exception, asyncio.CancelledError) as exc:
+        print(f"could not run: {exc!r}")
         result = COULD_NOT_RUN
     sys.exit(result)
