Write an acknowledged departure until the store has it (DRAIN)

After the outage all daemons were killed. A late heartbeat then put the target in force again: 30 requests reached it up to 10.4 s after the acknowledgement, one was lost when it exited.

Cause: the write of a departure was tried once, for at most 0.4 s. If it failed, the departure existed only in the memory of the daemons. Evidence: the log line 'departure not stored', and no row departed/ at the restart.

Related paths looked at and mended here: - A write that is repeated waits for the circuit breaker, whose only probe may be held by a long poll for 1.6 s. It is admitted at once now. - The acknowledging daemon may be lost before it can write. The first watcher writes departures that have no row when it compares rows. - Datagrams are lost; the departure is sent again with each retry. - One row for each address: the late write of an earlier departure replaced a later one, and peers kept the last one only. Each departure has a row of its own now; the first watcher removes it after ten minutes. - A daemon that the store turns away after its restart asked its peers only after it had read the rows. It asks them from the first failure on.

Why it works: the row stands within 0.8 s of the store's return, or of the return for any first watcher, and rows outlive all daemons.

Tests, three of which failed before with the departure missing: test_departure_is_stored_once_the_store_is_back, test_departure_of_a_lost_daemon_is_stored, test_late_write_replaces_no_later_departure; new with the mechanism: test_rows_of_old_departures_are_removed and test_urgent_call_does_not_wait_for_a_probe.

--- a/goldcresthoist/access/gate.py
+++ b/goldcresthoist/access/gate.py
@@ -80,7 +80,7 @@
         return self.next_probe_at is not None
 
     @asynccontextmanager
-    async def admit(self, deadline):
+    async def admit(self, deadline, urgent=False):
         """Return a context manager that holds one unit of concurrency for a call.
 
         The body must raise `CallFailed` or `CallNotSent` when the service did not
@@ -92,6 +92,10 @@
         deadline : float
             Latest time to be admitted, on the clock of the running event loop, in
             seconds.
+        urgent : bool
+            Whether the call is admitted at once, whatever the state of the circuit. It
+            is meant for rare calls that must reach the service soon after it has
+            recovered.
 
         Raises
         ------
@@ -99,7 +103,7 @@
             If the circuit is open, or opens while the call waits; if too many calls
             are waiting; or if the deadline passes before the call is admitted.
         """
-        probe = await self._acquire(deadline)
+        probe = await self._acquire(deadline, urgent)
         try:
             yield
         except (CallFailed, CallNotSent):
@@ -118,7 +122,10 @@
         """Halve the concurrency limit after a throttling response of the service."""
         self.concurrency_limit = max(1, self.concurrency_limit // 2)
 
-    async def _acquire(self, deadline):
+    async def _acquire(self, deadline, urgent):
+        if urgent:
+            self.in_flight += 1
+            return False
         if self.is_open:
             self._begin_probe()
             return True
--- a/goldcresthoist/access/tests/test_gate.py
+++ b/goldcresthoist/access/tests/test_gate.py
@@ -40,6 +40,27 @@
     Every daemon of a fleet calls the same service, so retries and probes add up.
     """
 
+    async def test_urgent_call_does_not_wait_for_a_probe(self):
+        """Guards against a write that is kept back after the service has recovered.
+
+        Another call may hold the only probe until its long time limit.
+        """
+        service = Service()
+        service.down = True
+        gate = CallGate("table")
+        for _ in range(4):
+            with self.assertRaises((CallFailed, CallNotSent)):
+                await call(gate, service)
+        self.assertTrue(gate.is_open)
+        service.down = False
+        received = service.received
+        async with gate.admit(float("inf"), urgent=True):
+            service.received += 1
+        self.assertEqual(service.received, received + 1)
+        self.assertEqual(gate.in_flight, 0)
+        with self.assertRaises(CallNotSent):
+            await call(gate, service)
+
     async def test_outage_is_probed_by_few_calls_at_different_times(self):
         clock = Clock(self)
         service = Service()
--- a/goldcresthoist/fleet/directory.py
+++ b/goldcresthoist/fleet/directory.py
@@ -23,8 +23,13 @@
 # Interval of the log lines on changed members, and the number of them that one names.
 LOG_INTERVAL_S = 1.0
 MAX_LOGGED_MEMBERS = 5
-# Departures kept on behalf of other daemons. The oldest is dropped beyond this number.
-MAX_DEPARTURES = 2000
+# Addresses whose departures are kept, and departures of one address. The oldest are
+# dropped beyond these numbers.
+MAX_DEPARTED_ADDRESSES = 2000
+MAX_DEPARTURES = 8
+# Time for which a departure is kept. Announcements of a run that has left may arrive
+# seconds late, and a daemon that restarts must not take them for those of a live one.
+DEPARTURE_MEMORY_S = 600.0
 # Time for which a record of a member that has left is ignored. Old records are still
 # under way when it leaves. Afterwards a record may also be one of a successor with a
 # clock that is behind.
@@ -52,7 +57,7 @@
 
 
 class Directory:
-    """The known members and the last departure of each one's upstream.
+    """The known members and the last departures of each one's upstream.
 
     A later record of an address replaces the earlier one. A member is removed only when
     its daemon says that it stops for good. One that is gone without a word has no open
@@ -72,8 +77,9 @@
     members : dict
         `MemberRecord` by address, including the one of this daemon.
     departures : dict
-        The last `Departed` by address of the acknowledging daemon. That daemon gets it
-        back after a restart, and then does not use the upstream that has left.
+        By address of the acknowledging daemon, its last `Departed` records, each with
+        the monotonic time at which it became known here. That daemon gets them back
+        after a restart, and then does not use an upstream that has left.
     left : dict
         `_LeftMember` by address, for members that have left lately.
     unlogged : list of str
@@ -169,17 +175,37 @@
         self.channel.send(message, self.other_addresses())
 
     def add_departure(self, departed):
-        """Store an acknowledged departure unless a later one is known.
+        """Store an acknowledged departure.
 
         Calls ``on_departure`` when it is a departure of the local upstream.
         """
-        known = self.departures.pop(departed.ip, departed)
-        self.departures[departed.ip] = max(known, departed, key=_departure_time_ms)
-        while len(self.departures) > MAX_DEPARTURES:
+        known = self.departures.pop(departed.ip, {})
+        self.departures[departed.ip] = known
+        known.setdefault(departed, monotonic())
+        while len(known) > MAX_DEPARTURES:
+            del known[min(known, key=_departure_time_ms)]
+        while len(self.departures) > MAX_DEPARTED_ADDRESSES:
             self.departures.pop(next(iter(self.departures)))
         if departed.ip == self.own.ip and self.on_departure is not None:
             self.on_departure(departed)
 
+    def known_departures(self):
+        """Return the `Departed` records of all addresses."""
+        return [item for known in self.departures.values() for item in known]
+
+    def expire_departures(self):
+        """Forget the departures known for `DEPARTURE_MEMORY_S`, and return them."""
+        oldest = monotonic() - DEPARTURE_MEMORY_S
+        expired = [
+            departed
+            for known in self.departures.values()
+            for departed, known_since in known.items()
+            if known_since < oldest
+        ]
+        for departed in expired:
+            del self.departures[departed.ip][departed]
+        return expired
+
     def notify_knee(self, service):
         """Call ``on_knee`` for a service that has a latency knee."""
         if self.on_knee is not None:
@@ -239,7 +265,7 @@
         )
 
     def request_roster(self, ips, members=True):
-        """Request from these daemons the last departure of the local upstream.
+        """Request from these daemons the last departures of the local upstream.
 
         With ``members``, also request the members that they know.
         """
@@ -260,6 +286,10 @@
     def depart(self, departed):
         """Store a departure of the local upstream and send it to all others."""
         self.add_departure(departed)
+        self.send_departure(departed)
+
+    def send_departure(self, departed):
+        """Send a departure of the local upstream to all others."""
         self.channel.send(departed, self.other_addresses())
 
     def _on_member_left(self, message, sender):
@@ -292,8 +322,7 @@
         for start in range(0, len(records), RECORDS_PER_ROSTER):
             chunk = tuple(records[start : start + RECORDS_PER_ROSTER])
             self.channel.send(Roster(chunk), (sender,))
-        departed = self.departures.get(sender)
-        if departed is not None:
+        for departed in self.departures.get(sender, ()):
             self.channel.send(departed, (sender,))
 
 
--- a/goldcresthoist/fleet/messages.py
+++ b/goldcresthoist/fleet/messages.py
@@ -72,7 +72,7 @@
 
     ``digest`` covers the members known to the sender. A receiver whose own digest is
     equal sends no members, nor does one when ``members`` is false. In any case it sends
-    the last departure of the sender's upstream, if it knows one.
+    the last departures of the sender's upstream that it knows.
     """
 
     ip: str
--- a/goldcresthoist/fleet/registration.py
+++ b/goldcresthoist/fleet/registration.py
@@ -1,11 +1,13 @@
 """Registration of a daemon in the store, and discovery of the other members."""
 
 import asyncio
+import hashlib
 import random
 
 import msgspec
 
 from goldcresthoist.clock import monotonic
+from goldcresthoist.fleet.directory import DEPARTURE_MEMORY_S
 from goldcresthoist.fleet.messages import (
     Departed,
     MemberAnnouncement,
@@ -51,9 +53,14 @@
 # Largest difference between the clocks of two instances. A row whose start time is
 # further ahead is not one of an earlier process.
 MAX_CLOCK_SKEW_MS = 3_600_000
-# Longest time for which the acknowledgement of a departure waits for the store. The
-# upstream waits 1 s for the acknowledgement.
+# Longest time for which the acknowledgement of a departure waits for the store, which
+# is also the time limit of one write, and the pause before the next one. The upstream
+# waits 1 s for the acknowledgement. An acknowledged departure is written within 1 s
+# after the store has recovered, as the daemons may all be lost soon afterwards.
 DEPARTURE_TIMEOUT_S = 0.4
+DEPARTURE_RETRY_S = 0.3
+# The store takes at most this many rows in one call.
+MAX_ROWS_PER_WRITE = 100
 # Longest time for which a daemon that stops for good waits for the store, and the pause
 # after which it tells the others once more, as datagrams may be lost.
 LEAVE_TIMEOUT_S = 0.3
@@ -89,6 +96,8 @@
     written_at : float
         Monotonic time at which this daemon's row was last written, or a further write
         was started; 0 before the first write.
+    departure_rows : dict
+        Key and version of the row of each `Departed` that has one, as last read.
     """
 
     def __init__(self, directory, store, watch, log, bootstrap=False):
@@ -101,6 +110,7 @@
         self.row_version = None
         self.rows_loaded = asyncio.Event()
         self.written_at = 0.0
+        self.departure_rows = {}
         self.tasks = set()
         directory.channel.handlers[RowMissing] = lambda *_: self._rewrite_row()
 
@@ -131,7 +141,7 @@
         something else.
         """
         if not self.bootstrap:
-            await self._retry_until_done(self._read)
+            await self._load_rows()
             if self.row_kept:
                 return
         await self._retry_until_done(self._write)
@@ -159,18 +169,14 @@
         self.directory.leave()
 
     async def record_departure(self, departed):
-        """Try to write a departure to the store, for at most `DEPARTURE_TIMEOUT_S`.
+        """Write a departure to the store; wait at most `DEPARTURE_TIMEOUT_S` for it.
 
-        A failure is logged and not raised.
+        If it takes longer, the write is repeated in the background until it succeeds.
         """
-        key = DEPARTED_PREFIX + departed.ip
-        values = {key: encode_record(departed)}
-        try:
-            await self.store.put(MEMBER_TABLE, values, DEPARTURE_TIMEOUT_S)
-        except (StoreError, PlatformFormatError) as exc:
-            # The other daemons have the departure too, and send it to this daemon after
-            # a restart.
-            self.log.event("departure not stored", error=str(exc))
+        task = self._start_task(self._write_departure(departed))
+        await asyncio.wait((task,), timeout=DEPARTURE_TIMEOUT_S)
+        if not task.done():
+            self.log.event("departure not stored", upstream=departed.identity)
 
     def record_knee(self, service):
         """Write to the store that a service has a latency knee.
@@ -185,6 +191,23 @@
 
         self._start_task(self._retry_until_done(write_knee))
 
+    async def _write_departure(self, departed):
+        """Write a departure until it is stored, or no longer needed.
+
+        The other daemons have the departure, too, and send it to this one after a
+        restart. It is sent to them again after each failure, since datagrams may be
+        lost, and they write it if this daemon is lost before (`_repair_departures`).
+        """
+
+        async def write_departure():
+            values = {_departure_key(departed): encode_record(departed)}
+            await self.store.put(MEMBER_TABLE, values, DEPARTURE_TIMEOUT_S, urgent=True)
+
+        needed_until = monotonic() + DEPARTURE_MEMORY_S
+        while not await self._attempt(write_departure) and monotonic() < needed_until:
+            self.directory.send_departure(departed)
+            await asyncio.sleep(DEPARTURE_RETRY_S)
+
     async def close(self):
         """Cancel the background tasks."""
         for task in tuple(self.tasks):
@@ -196,6 +219,12 @@
             await asyncio.sleep(pause_s * random.uniform(0.7, 1.3))
             pause_s = min(RETRY_MAX_S, pause_s * 1.5)
 
+    async def _load_rows(self):
+        """Read the rows once the store answers; ask the other daemons until then."""
+        while not await self._attempt(self._read):
+            self._request_rosters(True)
+            await asyncio.sleep(RETRY_MIN_S * random.uniform(0.7, 1.3))
+
     async def _attempt(self, action):
         try:
             await action()
@@ -219,6 +248,7 @@
     async def _read(self):
         """Process all rows; return the addresses of the members that have a row."""
         registered = set()
+        self.departure_rows = {}
         first, next_key = None, ""
         # A page that ends at the key where it starts would be read forever.
         while next_key != first:
@@ -246,7 +276,12 @@
                 self.directory.merge_record(record)
         elif row.key.startswith(DEPARTED_PREFIX):
             departed = decode_record(row.value, Departed)
-            if departed is not None and row.key == DEPARTED_PREFIX + departed.ip:
+            # Earlier releases kept one row for each address.
+            if departed is not None and row.key in (
+                _departure_key(departed),
+                DEPARTED_PREFIX + departed.ip,
+            ):
+                self.departure_rows[departed] = (row.key, row.version)
                 self.directory.add_departure(departed)
         elif row.key.startswith(KNEE_PREFIX):
             self.directory.notify_knee(row.key.removeprefix(KNEE_PREFIX))
@@ -286,6 +321,28 @@
         if missing:
             self.log.event("rows missing", count=len(missing))
             self.directory.channel.send(RowMissing(), missing)
+        await self._repair_departures()
+
+    async def _repair_departures(self):
+        """Write the departures that have no row, and remove the rows of old ones.
+
+        The daemon that acknowledged a departure may be lost before it could write it.
+        """
+        expired = self.directory.expire_departures()
+        values = {
+            _departure_key(departed): encode_record(departed)
+            for departed in self.directory.known_departures()
+            if departed not in self.departure_rows
+        }
+        if values:
+            self.log.event("departures missing", count=len(values))
+        items = list(values.items())
+        for start in range(0, len(items), MAX_ROWS_PER_WRITE):
+            chunk = dict(items[start : start + MAX_ROWS_PER_WRITE])
+            await self.store.put(MEMBER_TABLE, chunk)
+        for departed in expired:
+            if departed in self.departure_rows:
+                await self.store.remove(MEMBER_TABLE, *self.departure_rows[departed])
 
     def _rewrite_row(self):
         now = monotonic()
@@ -302,3 +359,15 @@
         task = asyncio.get_running_loop().create_task(coroutine)
         self.tasks.add(task)
         task.add_done_callback(self.tasks.discard)
+        return task
+
+
+def _departure_key(departed):
+    """Return the key of the row of a departure.
+
+    Each departure has a row of its own: a call of the store may take effect late, and
+    must not replace the departure of a later run.
+    """
+    run = f"{departed.identity}\n{departed.born_ms}\n{departed.before_ms}"
+    digest = hashlib.blake2b(run.encode(), digest_size=8).hexdigest()
+    return f"{DEPARTED_PREFIX}{departed.ip}/{digest}"
--- a/goldcresthoist/fleet/tests/test_registration.py
+++ b/goldcresthoist/fleet/tests/test_registration.py
@@ -119,6 +119,63 @@
         await self.registration.record_departure(Departed("10.0.0.1", "i-1", 7))
         self.assertEqual(self.log.events[-1][0], "departure not stored")
 
+    async def test_departure_is_stored_once_the_store_is_back(self):
+        """Guards against an acknowledged departure that an outage keeps from the store.
+
+        If all daemons are lost after the outage, no other copy is left.
+        """
+        departed = Departed("10.0.0.1", "i-1", 9)
+        self.directory.merge_record(make_record("10.0.0.2"))
+        self.store.error = StoreUnavailable("the store is down")
+        self.directory.depart(departed)
+        await self.registration.record_departure(departed)
+        self.assertTrue(self.registration.tasks)
+        self.store.error = None
+        async with asyncio.timeout(2.0):
+            await asyncio.gather(*self.registration.tasks)
+        self.assertIn(departed, await self.read_departures())
+        # Datagrams may be lost, so the others got it more than once.
+        sent = [ips for message, ips in self.channel.sent if message == departed]
+        self.assertGreater(len(sent), 1)
+
+    async def test_departure_of_a_lost_daemon_is_stored(self):
+        """Guards against an acknowledged departure that its lost daemon never wrote.
+
+        It was killed in the outage, and the other daemons have its datagram only.
+        """
+        departed = Departed("10.0.0.2", "i-2", 9)
+        self.channel.deliver(departed, "10.0.0.2")
+        await self.registration._compare()
+        self.assertEqual(await self.read_departures("10.0.0.2"), {departed})
+
+    async def test_late_write_replaces_no_later_departure(self):
+        """Guards against a run that has left and is in use after a restart.
+
+        Two runs left in turn, and the store performs the write of the first one last.
+        """
+        runs = [Departed("10.0.0.1", f"i-{number}", number) for number in (8, 9)]
+        for departed in reversed(runs):
+            await self.registration.record_departure(departed)
+        self.assertLessEqual(set(runs), await self.read_departures())
+
+    async def test_rows_of_old_departures_are_removed(self):
+        """Guards against a table that grows with each upstream that ever left."""
+        departed = Departed("10.0.0.2", "i-2", 9)
+        self.channel.deliver(departed, "10.0.0.2")
+        await self.registration._compare()
+        with mock.patch("goldcresthoist.fleet.directory.DEPARTURE_MEMORY_S", -1.0):
+            await self.registration._compare()
+        self.assertEqual(await self.read_departures("10.0.0.2"), set())
+
+    async def read_departures(self, ip="10.0.0.1"):
+        """Return the departures that a daemon of this address reads after a restart."""
+        directory = Directory(make_record(ip), FakeChannel(), self.log)
+        seen = set()
+        directory.on_departure = seen.add
+        reader = Registration(directory, self.store, FakeWatch(), self.log)
+        await reader._read()
+        return seen
+
     async def test_members_of_all_pages_are_found(self):
         """Guards against members missed because only the first page of rows is read.
 
--- a/goldcresthoist/platform/store.py
+++ b/goldcresthoist/platform/store.py
@@ -166,7 +166,7 @@
             await self._call("GET", "rows-feed", query, None, timeout_s)
         )
 
-    async def put(self, table, values, timeout_s=CALL_TIMEOUT_S):
+    async def put(self, table, values, timeout_s=CALL_TIMEOUT_S, urgent=False):
         """Write rows of one table unconditionally.
 
         Parameters
@@ -174,6 +174,9 @@
         table : str
         values : dict of str to bytes
             Values by key.
+        timeout_s : float
+        urgent : bool
+            Whether the call is made although the circuit of the gate is open.
 
         Raises
         ------
@@ -194,7 +197,7 @@
             for key, value in values.items()
         ]
         body = _encoder.encode({"expect": [], "upserts": upserts, "remove": []})
-        await self._call("POST", "rows-tx", {}, body, timeout_s)
+        await self._call("POST", "rows-tx", {}, body, timeout_s, urgent)
 
     async def remove(self, table, key, version, timeout_s=CALL_TIMEOUT_S):
         """Remove a row if it still has the given version.
@@ -221,10 +224,10 @@
         # This lets the event loop call `connection_lost` of each connection.
         await asyncio.sleep(0)
 
-    async def _call(self, method, name, query, body, timeout_s):
+    async def _call(self, method, name, query, body, timeout_s, urgent=False):
         deadline = asyncio.get_running_loop().time() + timeout_s
         try:
-            async with self.gate.admit(deadline):
+            async with self.gate.admit(deadline, urgent):
                 status, content = await self._exchange(
                     method, name, query, body, deadline
                 )
