--- a/goldcresthoist/node/announcements.py
+++ b/goldcresthoist/node/announcements.py
@@ -55,6 +55,8 @@
         self.counters = counters
         self.started_at = monotonic()
         self.tasks = set()
+        # Called after each announcement of a run that is unconfirmed.
+        self.on_unconfirmed = lambda: None
         server.on_leaving = self._on_leaving
         directory.on_departure = self._on_earlier_departure
 
@@ -116,6 +118,8 @@
             AnnouncementResult.DRAINING,
         ):
             self.server.upstream_changed(result is AnnouncementResult.NEW)
+        if self.own.unconfirmed:
+            self.on_unconfirmed()
 
     async def _handle_deregistration(self, departure):
         self.counters.add("announcements", outcome="deregistered")
--- a/goldcresthoist/node/assembly.py
+++ b/goldcresthoist/node/assembly.py
@@ -125,7 +125,10 @@
 
     def _build_calls(self, key):
         settings = self.settings
-        self.own = LocalUpstream(settings.upstream_address, settings.service)
+        started_ms = 0 if settings.bootstrap else self.record.born_ms
+        self.own = LocalUpstream(
+            settings.upstream_address, settings.service, started_ms
+        )
         self.pool = ConnectionPool(
             *split_address(settings.upstream_address), make_connection=make_connection
         )
@@ -186,6 +189,7 @@
         self.watch.on_store_recovered = self.registration.store_recovered
         self.server.configuration_content = self.watch.current_content
         self.server.probe.health_path = self._health_path
+        self.announcements.on_unconfirmed = self.discovery.start_confirmation
         self.server.on_suspect = self._broadcast_suspect
         self.server.on_knee_verdict = self._broadcast_knee_verdict
         self.directory.on_knee = self._restore_knee
@@ -268,6 +272,7 @@
         """Stop all components and write out the log."""
         for server in self._http_servers():
             await server.close()
+        await self.discovery.close()
         await self.watch.close()
         await self.registration.close()
         await self.links.close()
--- a/goldcresthoist/node/local_upstream.py
+++ b/goldcresthoist/node/local_upstream.py
@@ -8,6 +8,10 @@
 # announcement for this long, a run with another identity and the same start time may
 # replace it.
 ANNOUNCEMENT_TIMEOUT_S = 4.0
+# An unconfirmed run may get calls when it announces itself again this long after its
+# first announcement. Announcements of a run that has left may still arrive, but seldom
+# that late.
+CONFIRMATION_S = 2.5
 # Largest number of departed runs that are kept, and separately of identities with a
 # departure that gave no start time. The oldest entries are removed first.
 MAX_DEPARTED_RUNS = 64
@@ -56,6 +60,11 @@
     address, service : str
         Address and service of the local upstream as configured in the settings.
         Announcements with other values are rejected.
+    started_ms : int
+        Unix milliseconds at which this daemon started; 0 if it is the first process on
+        its instance. Departures of runs that started before may be unknown, since an
+        earlier process may have acknowledged them when neither the store nor another
+        daemon could be reached.
 
     Attributes
     ----------
@@ -77,17 +86,23 @@
     discovered : bool
         Whether the current run is known from a health check only, which does not give
         its start time.
+    unconfirmed : bool
+        Whether the current run may have departed before this daemon started. It gets
+        calls once its health check or a later announcement shows that it has not.
     """
 
-    def __init__(self, address, service):
+    def __init__(self, address, service, started_ms=0):
         self.address = address
         self.service = service
+        self.started_ms = started_ms
         self.identity = None
         self.born_ms = 0
         self.sequence = -1
         self.slots = 1
         self.warm_up_until = 0.0
         self.last_announced_at = float("-inf")
+        self.unconfirmed = False
+        self.unconfirmed_since = float("-inf")
         # Keys are the runs, as (identity, born_ms), whose departure has been
         # acknowledged, oldest first. All values are True.
         self.departed = {}
@@ -105,7 +120,10 @@
     def usable(self):
         """Return whether calls may be sent to the local upstream."""
         return (
-            self.identity is not None and not self.leaving and self.rejected_run is None
+            self.identity is not None
+            and not self.leaving
+            and not self.unconfirmed
+            and self.rejected_run is None
         )
 
     def apply_announcement(self, announcement, now):
@@ -131,11 +149,24 @@
         if announcement.draining:
             self.leaving = True
             return AnnouncementResult.DRAINING
-        if run != known or self.rejected_run is not None:
+        confirmed = self.unconfirmed and now - self.unconfirmed_since >= CONFIRMATION_S
+        if confirmed:
+            self.unconfirmed = False
+        if run != known or confirmed or self.rejected_run is not None:
             self.rejected_run = None
             return AnnouncementResult.NEW
         return AnnouncementResult.KNOWN
 
+    def confirm(self, identity):
+        """Let an unconfirmed run get calls, as its health check is good.
+
+        ``identity`` is that in the response. Return whether it is the current one.
+        """
+        if not self.unconfirmed or identity != self.identity:
+            return False
+        self.unconfirmed = False
+        return True
+
     def discover(self, identity, slots):
         """Store an identity that a health check gave; return whether it is accepted.
 
@@ -242,6 +273,8 @@
             self.born_ms,
         ):
             self.leaving = False
+            self.unconfirmed = announcement.born_ms < self.started_ms
+            self.unconfirmed_since = now
         self.identity = announcement.identity
         self.born_ms = announcement.born_ms
         self.sequence = announcement.sequence
--- a/goldcresthoist/node/tests/test_local_upstream.py
+++ b/goldcresthoist/node/tests/test_local_upstream.py
@@ -210,3 +210,47 @@
         self.announce(now=0.0)
         self.assertIs(self.announce("i-9", now=1.0), AnnouncementResult.STALE)
         self.assertIs(self.announce("i-9", now=10.0), AnnouncementResult.NEW)
+
+
+class UnconfirmedRunTest(unittest.TestCase):
+    """Announcements to a daemon that may have lost the memory of a departure."""
+
+    def setUp(self):
+        self.own = LocalUpstream("10.0.0.1:8000", "ledger", started_ms=5000)
+
+    def announce(self, *args, now=0.0, **values):
+        return self.own.apply_announcement(make_announcement(*args, **values), now)
+
+    def test_late_announcement_after_a_restart_is_not_enough(self):
+        """Guards against calls to a run whose departure nobody remembers.
+
+        It was acknowledged while the store was down, and all daemons were killed.
+        """
+        self.announce(born_ms=1000, now=10.0)
+        self.assertFalse(self.own.usable())
+        self.announce(born_ms=1000, sequence=2, now=10.5)
+        self.assertFalse(self.own.usable())
+
+    def test_good_health_check_confirms_a_run(self):
+        """Guards against a live upstream without calls after each restart."""
+        self.announce(born_ms=1000)
+        self.assertFalse(self.own.confirm("i-2"))
+        self.assertTrue(self.own.confirm("i-1"))
+        self.assertTrue(self.own.usable())
+
+    def test_later_announcements_confirm_a_run(self):
+        """Guards against a live upstream without calls while its health check lies."""
+        self.announce(born_ms=1000, now=10.0)
+        self.announce(born_ms=1000, sequence=2, now=11.5)
+        result = self.announce(born_ms=1000, sequence=3, now=13.0)
+        self.assertIs(result, AnnouncementResult.NEW)
+        self.assertTrue(self.own.usable())
+
+    def test_run_that_started_later_needs_no_confirmation(self):
+        """Guards against a new upstream that waits for its first calls."""
+        self.announce(born_ms=6000)
+        self.assertTrue(self.own.usable())
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/goldcresthoist/node/tests/test_path.py
+++ b/goldcresthoist/node/tests/test_path.py
@@ -309,6 +309,33 @@
         self.assertEqual(answer.status, 200)
         self.assertEqual(target.runs, [])
 
+    async def test_departure_that_nobody_remembers(self):
+        """Guards against calls to an upstream that left in an outage of the store.
+
+        All daemons are lost before the store is back, and an announcement arrives that
+        the upstream had sent before it left.
+        """
+        target = self.site.targets[self.first]
+        self.site.store.faults = {"down": True}
+        await target.drain()
+        target.heartbeat_task.cancel()
+        target.healthy = False
+        for ip in self.site.ips:
+            await self.site.stop_node(ip)
+        self.site.store.faults = {}
+        for ip, service in zip(self.site.ips, self.site.services):
+            await self.site.start_node(ip, service)
+        own = self.site.nodes[self.first].own
+        await wait_until(lambda: self.site.nodes[self.third].own.usable())
+        target.state = "ready"
+        self.assertTrue(await target.announce())
+        await wait_until(lambda: own.identity is not None)
+        for _ in range(10):
+            await self.site.call(self.second, "/read/1")
+            await asyncio.sleep(0.05)
+        self.assertEqual(target.runs, [])
+        self.assertFalse(own.usable())
+
     async def test_restarted_daemon_serves_calls(self):
         """Guards against a restarted daemon that gets no calls from the others.
 
