--- a/goldcresthoist/deadlines.py
+++ b/goldcresthoist/deadlines.py
@@ -44,14 +44,24 @@
         self.handle = None
 
     async def __aenter__(self):
-        loop = asyncio.get_running_loop()
-        self.handle = loop.call_later(max(0.0, self.deadline - monotonic()), self._end)
+        self._schedule()
         await self.timeout.__aenter__()
 
     async def __aexit__(self, kind, error, traceback):
         self.handle.cancel()
         return await self.timeout.__aexit__(kind, error, traceback)
 
+    def advance(self, deadline):
+        """Replace the deadline by another one if that is earlier."""
+        if deadline < self.deadline:
+            self.handle.cancel()
+            self.deadline = deadline
+            self._schedule()
+
+    def _schedule(self):
+        loop = asyncio.get_running_loop()
+        self.handle = loop.call_later(max(0.0, self.deadline - monotonic()), self._end)
+
     def _end(self):
         loop = asyncio.get_running_loop()
         now = monotonic()
--- a/goldcresthoist/node/entry.py
+++ b/goldcresthoist/node/entry.py
@@ -6,6 +6,7 @@
 
 from goldcresthoist.balance import ClientRetries
 from goldcresthoist.callers import CallerError
+from goldcresthoist.clock import monotonic
 from goldcresthoist.deadlines import deadline_at
 from goldcresthoist.node.request import EntryRequest
 from goldcresthoist.platform.fields import parse_request_fields, refusal_headers
@@ -55,9 +56,16 @@
         self.loop = asyncio.get_running_loop()
         self.client_retries = ClientRetries()
         self.in_progress = 0
-        # Set shortly before the process exits. New requests are refused, since they
-        # might not be completed.
-        self.closing = False
+        # `StopDeadlines` while the daemon stops.
+        self.stop = None
+        # `deadline_at` of each request in progress.
+        self.deadlines = set()
+
+    def start_stopping(self, stop):
+        """Refuse and end requests from now on as these `StopDeadlines` say."""
+        self.stop = stop
+        for item in self.deadlines:
+            item.advance(stop.cut_off_at)
 
     @property
     def chooser(self):
@@ -68,10 +76,10 @@
         """Handle one request of a caller until its response is sent."""
         fields = parse_request_fields(request.headers)
         table = self.watch.table
-        if table is None or self.closing:
-            code = "stopping" if self.closing else "not-ready"
-            exchange.keep_alive = exchange.keep_alive and not self.closing
-            self.refuse(exchange, 503, code, fields.request_id, NOT_READY_RETRY_S)
+        if table is None:
+            self.refuse(
+                exchange, 503, "not-ready", fields.request_id, NOT_READY_RETRY_S
+            )
             return
         path = request.target.partition("?")[0]
         route = table.route_for(_host(request.headers), path)
@@ -88,12 +96,22 @@
         if wait_s <= 0.0:
             self.refuse(exchange, 503, "deadline", fields.request_id)
             return
+        now = monotonic()
+        deadline = now + min(wait_s, route.timeout_s)
+        if self.stop is not None and not self.stop.accepts_request(now, deadline):
+            exchange.keep_alive = False
+            self.refuse(exchange, 503, "stopping", fields.request_id, NOT_READY_RETRY_S)
+            return
         entry_request = EntryRequest(
             self, route, table, request, exchange, fields, wait_s
         )
         self.in_progress += 1
+        limit = deadline_at(entry_request.deadline)
         try:
-            async with deadline_at(entry_request.deadline):
+            async with limit:
+                self.deadlines.add(limit)
+                if self.stop is not None:
+                    limit.advance(self.stop.cut_off_at)
                 await entry_request.run()
         except TimeoutError:
             entry_request.on_deadline()
@@ -101,6 +119,7 @@
             entry_request.on_caller_error(exc)
         finally:
             self.in_progress -= 1
+            self.deadlines.discard(limit)
             entry_request.finish()
 
     def refuse(self, exchange, status, code, request_id, retry_after_s=0.0):
--- a/goldcresthoist/node/lifecycle.py
+++ b/goldcresthoist/node/lifecycle.py
@@ -8,6 +8,7 @@
 
 from goldcresthoist.clock import monotonic
 from goldcresthoist.node.assembly import Node
+from goldcresthoist.node.stopping import StopDeadlines
 from goldcresthoist.platform import InvalidNodeSettings, NodeSettings
 from goldcresthoist.platform.settings import settings_path
 from goldcresthoist.supervision import keep_running
@@ -17,18 +18,6 @@
 SUCCESS = 0
 FAILURE = 1
 INVALID_SETTINGS = 2
-# Time for which a stopping daemon still accepts requests, or half of the stop grace
-# period if that is less. The platform checks readiness once a second, and callers
-# switch to another daemon after two failed checks; until then the stopping daemon must
-# respond to them.
-LINGER_S = 3.0
-# New calls to the local upstream are refused after this share of the linger time, and
-# the rest is left to the running calls. New calls are not refused at once because the
-# local upstream keeps running when only its serving daemon stops, and entry daemons
-# reach it only through the serving daemon.
-UPSTREAM_LINGER_SHARE = 0.85
-# Share of the platform's stop grace period after which running requests are cut off.
-CUT_OFF_SHARE = 0.93
 # Longest wait for the members before the configuration watch starts. A daemon that does
 # not know them watches the store itself. When the whole fleet starts for the first
 # time, all write their rows first, which takes the store a second for 200 daemons.
@@ -37,6 +26,8 @@
 # Share of the grace period until which a daemon whose upstream has left may take the
 # time to leave the fleet.
 LEAVE_SHARE = 0.85
+# Time after the cut-off in which the last responses are sent.
+FLUSH_S = 0.1
 # Interval of the checks while draining whether requests or calls are still in progress.
 POLL_S = 0.05
 # Interval of the checks for a changed settings file.
@@ -126,25 +117,23 @@
 async def drain(node):
     """Let running requests of a `Node` finish, and refuse new ones step by step.
 
-    The readiness check fails at once, calls to the local upstream are refused after
-    `UPSTREAM_LINGER_SHARE` of the linger time and requests of callers after all of it.
-    Returns when nothing runs any more, at the latest after `CUT_OFF_SHARE` of the grace
-    period.
+    The readiness check fails at once; `StopDeadlines` has the further steps. Returns
+    when nothing runs any more, at the latest when the last responses were sent.
     """
     grace_s = node.settings.bounds.stop_grace_s
     started = monotonic()
+    stop = StopDeadlines.from_grace(started, grace_s)
     node.log.event("stopping", grace_s=grace_s, in_progress=node.entry.in_progress)
     node.draining = True
-    linger_s = min(LINGER_S, grace_s / 2)
-    cut_off_at = started + CUT_OFF_SHARE * grace_s
-    while monotonic() < cut_off_at:
-        elapsed_s = monotonic() - started
-        if elapsed_s >= UPSTREAM_LINGER_SHARE * linger_s and not node.server.draining:
-            node.log.event("upstream calls refused", after_s=round(elapsed_s, 2))
+    node.server.start_stopping(stop)
+    node.entry.start_stopping(stop)
+    while (now := monotonic()) < stop.cut_off_at + FLUSH_S:
+        if now >= stop.upstream_closing_at and not node.server.draining:
+            after_s = round(now - started, 2)
+            node.log.event("upstream calls refused", after_s=after_s)
             node.server.start_draining()
-        if elapsed_s >= linger_s:
-            if not node.entry.closing:
-                node.entry.closing = True
+        if now >= stop.closing_at:
+            if not node.caller_server.draining:
                 node.caller_server.start_draining()
             if not node.busy():
                 break
--- a/goldcresthoist/node/request.py
+++ b/goldcresthoist/node/request.py
@@ -268,20 +268,24 @@
         )
 
     def on_deadline(self):
-        """Send an error response because the deadline has passed.
+        """Send an error response because the deadline, or that of a stop, has passed.
 
         A request that no upstream can have executed is refused, since callers may then
         repeat it whatever its kind is.
         """
         if self.exchange.finished:
             return
-        self.outcome = "deadline"
+        stop = self.entry.stop
+        cut_off = stop is not None and stop.cut_off_at < self.deadline
+        self.outcome = "cut-off" if cut_off else "deadline"
         request_id = self.fields.request_id
         if self._may_have_run():
-            self.entry.refuse(self.exchange, 504, "deadline-exceeded", request_id)
+            code = "stopping" if cut_off else "deadline-exceeded"
+            self.entry.refuse(self.exchange, 504, code, request_id)
         else:
+            code = "stopping" if cut_off else "deadline"
             retry_after_s = self._retry_after_s()
-            self.entry.refuse(self.exchange, 503, "deadline", request_id, retry_after_s)
+            self.entry.refuse(self.exchange, 503, code, request_id, retry_after_s)
 
     def on_caller_error(self, error):
         """End the exchange after the caller disconnected or sent an invalid body."""
--- a/goldcresthoist/node/serving.py
+++ b/goldcresthoist/node/serving.py
@@ -83,6 +83,8 @@
         self.queue.request_pace = self.probe.trigger
         self.limit_per_s = None
         self.draining = False
+        # `StopDeadlines` while the daemon stops.
+        self.stop = None
         # Result of `refusal_reason` when `upstream_changed` last announced the load.
         # The initial value is no valid result, so that the first change is announced.
         self.announced_reason = ""
@@ -208,6 +210,10 @@
             self.announced_reason = state
             self.announce_load()
 
+    def start_stopping(self, stop):
+        """Refuse calls from now on as these `StopDeadlines` say."""
+        self.stop = stop
+
     def start_draining(self):
         """Refuse new and queued calls from now on; running calls continue."""
         self.draining = True
@@ -249,6 +255,9 @@
         deadline = sent_at + message.time_left_us / 1e6
         if reason is None and deadline <= now:
             reason = "deadline"
+        stop = self.stop
+        if reason is None and stop is not None and not stop.accepts_call(now, deadline):
+            reason = "draining"
         if reason is not None:
             self._refuse(call, reason, 0.0)
             return
