--- a/goldcresthoist/fleet/directory.py
+++ b/goldcresthoist/fleet/directory.py
@@ -91,6 +91,8 @@
     on_departure : callable or None
         Called with each `Departed` that this daemon acknowledged for the local
         upstream, possibly before a restart.
+    on_roster_request : callable or None
+        Called with the address of each daemon that requests a roster.
     on_knee : callable or None
         Called with the name of each service that the store lists as having a latency
         knee: its upstreams are slower when almost all of their slots are in use.
@@ -106,6 +108,7 @@
         self.on_member = None
         self.on_member_left = None
         self.on_departure = None
+        self.on_roster_request = None
         self.on_knee = None
         self.unlogged = []
         self._ranks = None
@@ -324,6 +327,8 @@
             self.channel.send(Roster(chunk), (sender,))
         for departed in self.departures.get(sender, ()):
             self.channel.send(departed, (sender,))
+        if self.on_roster_request is not None:
+            self.on_roster_request(sender)
 
 
 def _departure_time_ms(departed):
--- a/goldcresthoist/fleet/messages.py
+++ b/goldcresthoist/fleet/messages.py
@@ -5,6 +5,8 @@
 
 import msgspec
 
+from goldcresthoist.balance.suspects import SUSPECT_EXPIRY_S
+
 __all__ = [
     "Departed",
     "KneeVerdict",
@@ -14,10 +16,12 @@
     "Roster",
     "RosterRequest",
     "RowMissing",
+    "StoredSuspect",
     "SuspectNotice",
     "VersionNotice",
     "VersionReport",
     "decode_record",
+    "decode_suspect",
     "encode_record",
     "is_valid",
 ]
@@ -26,6 +30,9 @@
 MAX_TEXT_CHARS = 200
 # Start times are Unix milliseconds; a later one than this is that of no daemon.
 MAX_TIME_MS = 2**48
+# Largest number of crashes of one request that counts as possible.
+MAX_CRASH_COUNT = 1_000_000
+MAX_FINGERPRINT_BYTES = 64
 
 
 class MemberRecord(msgspec.Struct, frozen=True, array_like=True):
@@ -108,11 +115,25 @@
     """A request that was running when an upstream crashed.
 
     ``fingerprint`` identifies the request. ``count`` is the number of such crashes so
-    far; 0 means that the request has succeeded since.
+    far; 0 means that the request has succeeded since. ``time_left_s`` is the time until
+    the request is no longer suspected.
     """
 
     fingerprint: bytes
     count: int
+    time_left_s: float = SUSPECT_EXPIRY_S
+
+
+class StoredSuspect(msgspec.Struct, frozen=True, array_like=True):
+    """A request that was running when upstreams crashed, as the store keeps it.
+
+    ``fingerprint`` and ``count`` are those of `SuspectNotice`. ``changed_ms`` is the
+    time of the last crash, or of the success, in Unix milliseconds.
+    """
+
+    fingerprint: bytes
+    count: int
+    changed_ms: int
 
 
 class KneeVerdict(msgspec.Struct, frozen=True, array_like=True, tag=8):
@@ -163,6 +184,7 @@
 
 _record = msgspec.msgpack.Decoder(MemberRecord)
 _departed = msgspec.msgpack.Decoder(Departed)
+_suspect = msgspec.msgpack.Decoder(StoredSuspect)
 
 
 def encode_record(record):
@@ -183,6 +205,20 @@
     return record if is_valid(record) else None
 
 
+def decode_suspect(value):
+    """Return the `StoredSuspect` in a row's value; None if malformed or impossible."""
+    try:
+        suspect = _suspect.decode(value)
+    except (msgspec.MsgspecError, RecursionError):
+        return None
+    possible = (
+        0 < len(suspect.fingerprint) <= MAX_FINGERPRINT_BYTES
+        and 0 <= suspect.count <= MAX_CRASH_COUNT
+        and 0 <= suspect.changed_ms <= MAX_TIME_MS
+    )
+    return suspect if possible else None
+
+
 def is_valid(record):
     """Return whether the values of a `MemberRecord` or `Departed` are possible.
 
--- a/goldcresthoist/fleet/registration.py
+++ b/goldcresthoist/fleet/registration.py
@@ -2,10 +2,13 @@
 
 import asyncio
 import hashlib
+import itertools
 import random
+import time
 
 import msgspec
 
+from goldcresthoist.balance.suspects import SUSPECT_EXPIRY_S
 from goldcresthoist.clock import monotonic
 from goldcresthoist.fleet.directory import DEPARTURE_MEMORY_S
 from goldcresthoist.fleet.messages import (
@@ -13,7 +16,9 @@
     MemberAnnouncement,
     MemberRecord,
     RowMissing,
+    StoredSuspect,
     decode_record,
+    decode_suspect,
     encode_record,
 )
 from goldcresthoist.platform import PlatformFormatError, StoreError
@@ -26,6 +31,7 @@
 # One row for each service with a latency knee: its upstreams are slower when almost all
 # of their slots are in use. The value of the row is empty.
 KNEE_PREFIX = "knee/"
+SUSPECT_PREFIX = "suspect/"
 
 # The pauses between attempts of a store call grow from the minimum to the maximum. The
 # first ones are short so that a row is written within 2 s after the store has
@@ -59,6 +65,8 @@
 # after the store has recovered, as the daemons may all be lost soon afterwards.
 DEPARTURE_TIMEOUT_S = 0.4
 DEPARTURE_RETRY_S = 0.3
+# Largest number of crash counts that wait for the store. The oldest are dropped first.
+MAX_PENDING_SUSPECTS = 1000
 # The store takes at most this many rows in one call.
 MAX_ROWS_PER_WRITE = 100
 # Longest time for which a daemon that stops for good waits for the store, and the pause
@@ -98,6 +106,13 @@
         was started; 0 before the first write.
     departure_rows : dict
         Key and version of the row of each `Departed` that has one, as last read.
+    suspect_rows : dict
+        Key and version of the row of each `StoredSuspect`, as last read.
+    pending_suspects : dict
+        Values of the rows of crash counts that are still to be written, by key.
+    on_suspect : callable
+        Called with the fingerprint, the crash count and the remaining seconds of each
+        suspect that the store has; the count is 0 for one that has succeeded since.
     """
 
     def __init__(self, directory, store, watch, log, bootstrap=False):
@@ -111,6 +126,10 @@
         self.rows_loaded = asyncio.Event()
         self.written_at = 0.0
         self.departure_rows = {}
+        self.suspect_rows = {}
+        self.pending_suspects = {}
+        self.suspect_task = None
+        self.on_suspect = lambda fingerprint, count, time_left_s: None
         self.tasks = set()
         directory.channel.handlers[RowMissing] = lambda *_: self._rewrite_row()
 
@@ -191,6 +210,39 @@
 
         self._start_task(self._retry_until_done(write_knee))
 
+    def record_suspect(self, fingerprint, count):
+        """Write the crash count of a request to the store, in the background.
+
+        It is read when daemons start. Without it, a request that crashes upstreams
+        would crash more of them after each loss of all daemons. The count is 0 when the
+        request has succeeded since.
+        """
+        suspect = StoredSuspect(fingerprint, count, int(time.time() * 1000))
+        pending = self.pending_suspects
+        pending[SUSPECT_PREFIX + fingerprint.hex()] = encode_record(suspect)
+        while len(pending) > MAX_PENDING_SUSPECTS:
+            pending.pop(next(iter(pending)))
+        if self.suspect_task is None or self.suspect_task.done():
+            self.suspect_task = self._start_task(self._write_suspects())
+
+    async def _write_suspects(self):
+        pending = self.pending_suspects
+        while pending:
+            values = dict(itertools.islice(pending.items(), MAX_ROWS_PER_WRITE))
+
+            async def write_suspects(values=values):
+                await self.store.put(
+                    MEMBER_TABLE, values, DEPARTURE_TIMEOUT_S, urgent=True
+                )
+
+            if not await self._attempt(write_suspects):
+                await asyncio.sleep(DEPARTURE_RETRY_S)
+                continue
+            for key, value in values.items():
+                # The count may have changed during the write.
+                if pending.get(key) is value:
+                    del pending[key]
+
     async def _write_departure(self, departed):
         """Write a departure until it is stored, or no longer needed.
 
@@ -249,6 +301,7 @@
         """Process all rows; return the addresses of the members that have a row."""
         registered = set()
         self.departure_rows = {}
+        self.suspect_rows = {}
         first, next_key = None, ""
         # A page that ends at the key where it starts would be read forever.
         while next_key != first:
@@ -283,6 +336,15 @@
             ):
                 self.departure_rows[departed] = (row.key, row.version)
                 self.directory.add_departure(departed)
+        elif row.key.startswith(SUSPECT_PREFIX):
+            suspect = decode_suspect(row.value)
+            if suspect is None or row.key != SUSPECT_PREFIX + suspect.fingerprint.hex():
+                self.log.event("row ignored", key=row.key)
+                return
+            self.suspect_rows[suspect] = (row.key, row.version)
+            time_left_s = _suspect_time_left_s(suspect)
+            if not suspect.count or time_left_s > 0.0:
+                self.on_suspect(suspect.fingerprint, suspect.count, time_left_s)
         elif row.key.startswith(KNEE_PREFIX):
             self.directory.notify_knee(row.key.removeprefix(KNEE_PREFIX))
 
@@ -322,6 +384,9 @@
             self.log.event("rows missing", count=len(missing))
             self.directory.channel.send(RowMissing(), missing)
         await self._repair_departures()
+        for suspect, (key, version) in self.suspect_rows.items():
+            if not suspect.count or _suspect_time_left_s(suspect) <= 0.0:
+                await self.store.remove(MEMBER_TABLE, key, version)
 
     async def _repair_departures(self):
         """Write the departures that have no row, and remove the rows of old ones.
@@ -362,6 +427,12 @@
         return task
 
 
+def _suspect_time_left_s(suspect):
+    """Return the time until a stored suspect expires; clocks may differ a little."""
+    age_s = max(0.0, time.time() - suspect.changed_ms / 1000)
+    return SUSPECT_EXPIRY_S - age_s
+
+
 def _departure_key(departed):
     """Return the key of the row of a departure.
 
--- a/goldcresthoist/node/assembly.py
+++ b/goldcresthoist/node/assembly.py
@@ -25,7 +25,7 @@
 from goldcresthoist.node.entry import EntryServer
 from goldcresthoist.node.local_upstream import LocalUpstream
 from goldcresthoist.node.services import FleetServices
-from goldcresthoist.node.serving import UpstreamServer
+from goldcresthoist.node.serving import STORED_CRASHES, UpstreamServer
 from goldcresthoist.node.status import NodeStatus
 from goldcresthoist.node.transfers import TransferBudget
 from goldcresthoist.pauses import PauseDetector
@@ -196,8 +196,12 @@
         self.channel.handlers[KneeVerdict] = self._on_knee_verdict
         self.link_server.on_peer = self._request_introduction
         self.channel.handlers[SuspectNotice] = lambda message, _: (
-            self.server.update_suspect(message.fingerprint, message.count)
+            self.server.update_suspect(
+                message.fingerprint, message.count, message.time_left_s
+            )
         )
+        self.registration.on_suspect = self.server.update_suspect
+        self.directory.on_roster_request = self._send_suspects
         self.counters.gauge("ready", lambda: int(self.is_ready()))
         self.counters.gauge("members", lambda: len(self.directory.members))
         self.counters.gauge("in_flight", lambda: self.server.queue.running)
@@ -322,10 +326,22 @@
         table = self.watch.table
         return None if table is None else table.services.get(self.own.service)
 
-    def _broadcast_suspect(self, fingerprint, count):
-        self.log.event("crash suspect", fingerprint=fingerprint.hex(), count=count)
+    def _broadcast_suspect(self, fingerprint, count, before):
+        self.log.event(
+            "crash suspect", fingerprint=fingerprint.hex(), count=count, before=before
+        )
         notice = SuspectNotice(fingerprint, count)
         self.channel.send(notice, self.directory.other_addresses())
+        if max(count, before) >= STORED_CRASHES:
+            self.registration.record_suspect(fingerprint, count)
+
+    def _send_suspects(self, ip):
+        """Send the suspects to a daemon that requests the roster after its start."""
+        for record in self.server.reported_suspects():
+            notice = SuspectNotice(
+                record.fingerprint, record.count, round(record.time_left_s, 1)
+            )
+            self.channel.send(notice, (ip,))
 
     def _broadcast_knee_verdict(self, verdict, decided):
         """Send a verdict to the service's daemons; store the knee if it decided."""
--- a/goldcresthoist/node/request.py
+++ b/goldcresthoist/node/request.py
@@ -12,6 +12,7 @@
 from goldcresthoist.http_fields import header_value
 from goldcresthoist.links import LinkClosed
 from goldcresthoist.links.frames import Failed, FailureKind, Head, Open, Refuse
+from goldcresthoist.node.serving import MAX_CRASHES
 from goldcresthoist.node.transfers import CALL_BYTES
 from goldcresthoist.platform.fields import upstream_headers
 
@@ -91,7 +92,9 @@
         Whether the rest of the body is being streamed to a serving daemon, which makes
         a retry impossible.
     crash_count : int
-        Number of upstream crashes that are attributed to the request.
+        Number of upstream crashes that are attributed to the request, those of earlier
+        requests with the same fingerprint included. The serving daemon gets it with
+        each offer, since its own memory may have been lost in a restart.
     attempts : list of Attempt
         All offers that were sent, hedges included.
     unanswered : set of Attempt
@@ -209,6 +212,12 @@
         """
         await self._read_prefix()
         self.service.budget.record_request()
+        self.crash_count = self.entry.server.suspects.count(
+            self.fingerprint, monotonic()
+        )
+        if self.crash_count >= MAX_CRASHES:
+            self._refuse_suspect()
+            return
         outcome = None
         attempt = self._offer()
         try:
@@ -619,6 +628,18 @@
                     self.exchange, 503, "no-upstream", request_id, self._retry_after_s()
                 )
 
+    def _refuse_suspect(self):
+        """Refuse a request that has crashed too many upstreams."""
+        self.outcome = "refused"
+        self.decisions.append({"refused": "crash-suspect", "crashes": self.crash_count})
+        self.entry.refuse(
+            self.exchange,
+            503,
+            "crash-suspect",
+            self.fields.request_id,
+            self._retry_after_s(),
+        )
+
     def _may_have_run(self):
         """Return whether an upstream may have executed the request, or still may."""
         return bool(self.unanswered) or any(
--- a/goldcresthoist/node/serving.py
+++ b/goldcresthoist/node/serving.py
@@ -7,15 +7,17 @@
     Draining,
     SlotCall,
     SlotQueue,
+    SuspectRecord,
 )
 from goldcresthoist.balance._report_delay import clock_ms
+from goldcresthoist.balance.suspects import SUSPECT_EXPIRY_S
 from goldcresthoist.clock import monotonic
 from goldcresthoist.links.frames import ConfigurationContent, FailureKind, LoadReport
 from goldcresthoist.node.call_execution import CallExecution
 from goldcresthoist.node.pace_probe import PaceProbe
 from goldcresthoist.supervision import keep_running
 
-__all__ = ["UpstreamServer"]
+__all__ = ["MAX_CRASHES", "STORED_CRASHES", "UpstreamServer"]
 
 # Interval of the checks for queued calls whose response would come too late.
 EXPIRY_INTERVAL_S = 0.02
@@ -28,6 +30,11 @@
 FAILURE_HALF_LIFE_S = 3.0
 # A request is refused once upstreams have crashed this many times while it was running.
 MAX_CRASHES = 3
+# Number of crashes from which on a request is recorded in the store and reported to
+# daemons that start.
+STORED_CRASHES = 2
+# Largest number of suspects that are reported to a daemon that starts.
+MAX_REPORTED_SUSPECTS = 64
 
 
 class UpstreamServer:
@@ -100,9 +107,9 @@
         self.announce_load = lambda: None
         # Set by `Node`. Returns the configuration that other daemons fetch here.
         self.configuration_content = lambda: ConfigurationContent(-1, -1, b"")
-        # Called with a request's fingerprint and crash count when this daemon changes
-        # the count.
-        self.on_suspect = lambda fingerprint, count: None
+        # Called with a request's fingerprint, its crash count and the count before when
+        # this daemon changes the count.
+        self.on_suspect = lambda fingerprint, count, before: None
         # Called with the identity and the start time of the current run of the local
         # upstream when a response states that it leaves.
         self.on_leaving = lambda identity, born_ms: None
@@ -224,12 +231,26 @@
         """Apply a `Suspect` frame, for which `LinkServer` calls this method."""
         self.update_suspect(fingerprint, count)
 
-    def update_suspect(self, fingerprint, count):
-        """Apply the crash count that another daemon reports; 0 clears the request."""
+    def update_suspect(self, fingerprint, count, time_left_s=SUSPECT_EXPIRY_S):
+        """Apply the crash count that another daemon or the store reports.
+
+        It expires after ``time_left_s`` seconds. A count of 0 clears the request.
+        """
         if count <= 0:
             self.suspects.end(fingerprint, True)
         else:
-            self.suspects.add_report(fingerprint, count, monotonic())
+            record = SuspectRecord(fingerprint, count, time_left_s)
+            self.suspects.load((record,), monotonic())
+
+    def reported_suspects(self):
+        """Return a `SuspectRecord` for each request that a new daemon must know.
+
+        Many requests may run when an upstream crashes. Those that ran during a single
+        crash are left out, as most of them are not its cause.
+        """
+        records = self.suspects.export(monotonic())
+        records = [item for item in records if item.count >= STORED_CRASHES]
+        return records[-MAX_REPORTED_SUSPECTS:]
 
     def begin(self, call):
         """Give a call a slot, queue it or refuse it.
@@ -331,8 +352,9 @@
         fingerprint = message.fingerprint
         self.counters.add("upstream_crashes")
         self.suspects.add_report(fingerprint, message.crash_count, now)
+        before = self.suspects.count(fingerprint, now)
         count = self.suspects.record_crash(fingerprint, now)
-        self.on_suspect(fingerprint, count)
+        self.on_suspect(fingerprint, count, before)
         return count
 
     def record_success(self, message):
@@ -340,9 +362,10 @@
 
         ``message`` is the `Open` that started its call.
         """
-        if self.suspects.by_fingerprint.get(message.fingerprint) is not None:
+        before = self.suspects.count(message.fingerprint, monotonic())
+        if before:
             self.suspects.end(message.fingerprint, True)
-            self.on_suspect(message.fingerprint, 0)
+            self.on_suspect(message.fingerprint, 0, before)
 
     def report_internal_error(self, call, error):
         """Log an unexpected exception and end the call with a failure."""
--- a/goldcresthoist/tests/standins/platform_target.py
+++ b/goldcresthoist/tests/standins/platform_target.py
@@ -7,7 +7,8 @@
 response after the execution), ``truncate`` (half of the body), ``extra`` and ``late``
 (a second response, at once or 0.1 s later), ``garbage`` (no HTTP), ``unframed`` (no
 length), ``shed`` (status 503 without execution), ``late-refusal`` (``shed``, and once
-more 0.1 s later), ``half-head`` (the connection ends in the head), ``unsealed`` (no
+more 0.1 s later), ``crash`` (the upstream stops until it is started again),
+``half-head`` (the connection ends in the head), ``unsealed`` (no
 signature) or one of `ENDLESS_FAULTS` (bytes until the connection ends). It responds to
 ``/health`` at once, unless ``health_hangs`` is set.
 """
@@ -228,6 +229,9 @@
             await asyncio.sleep(float(query.get("ms", 0)) / 1000)
         finally:
             target.running -= 1
+        if fault == "crash":
+            await target.stop()
+            return
         if fault in ENDLESS_FAULTS:
             await self._send_without_end(fault, request_id)
             return
