Join small pieces of a body, so that an endless one takes no more memory

Bytes that are no answer were bounded already: garbage, empty lines, an endless status line or reason, header, trailer, interim response, chunk extension, refusal or response to another request end the connection within 16 KiB of framing, and the call gets 502 (or 503 for a refusal). But of a body in chunks of one byte, up to 128 KiB were kept for a caller that does not read, each as an object of its own, at both daemons: a daemon grew by 16 MB for two such calls, on instances with 200 to 300 MB and a dozen calls at a time.

Small pieces are joined into larger ones, so that the bound on unread bytes is one on memory. Bytes of whole reads are not copied.

test_bodies failed before (16,330,752 bytes more in a daemon, 8 MiB allowed) and passes now. New cases of test_upstreams and EndlessHealthCheckTest passed before, too. One earlier run of test_bodies on the code before got 503 for the next call, with the upstream beside the test in one process; it has not been seen with this change.

--- a/goldcresthoist/streams.py
+++ b/goldcresthoist/streams.py
@@ -6,6 +6,12 @@
 __all__ = ["BodyStream", "CreditWindow"]
 
 
+# Pieces of less than this size are joined into larger ones, of up to the second size. A
+# body in chunks of one byte would otherwise take 50 times its size in memory.
+SMALL_PIECE_BYTES = 512
+MAX_JOINED_BYTES = 16 * 1024
+
+
 class BodyStream:
     """Buffer of the body bytes that were received and not yet consumed.
 
@@ -40,6 +46,8 @@
         if data and self.error is None:
             if not self.chunks:
                 self.chunks = deque((data,))
+            elif len(data) < SMALL_PIECE_BYTES:
+                self._append_small(data)
             else:
                 self.chunks.append(data)
             self.size += len(data)
@@ -65,7 +73,7 @@
         """Return all buffered bytes without waiting; ``b""`` if there are none."""
         if not self.chunks:
             return b""
-        data = self.chunks[0] if len(self.chunks) == 1 else b"".join(self.chunks)
+        data = b"".join(self.chunks)
         self.chunks = ()
         self._record_consumed(len(data))
         return data
@@ -84,7 +92,7 @@
             if self.ended:
                 return b""
             await self._wait_for_change()
-        data = self.chunks.popleft()
+        data = bytes(self.chunks.popleft())
         self._record_consumed(len(data))
         return data
 
@@ -110,6 +118,15 @@
         self._record_consumed(len(data))
         return data
 
+    def _append_small(self, data):
+        last = self.chunks[-1]
+        if len(last) >= MAX_JOINED_BYTES:
+            self.chunks.append(data)
+        elif type(last) is bytearray:
+            last += data
+        else:
+            self.chunks[-1] = bytearray(last) + data
+
     def _record_consumed(self, size):
         self.size -= size
         if self.on_consumed is not None:
--- a/goldcresthoist/tests/standins/platform_target.py
+++ b/goldcresthoist/tests/standins/platform_target.py
@@ -9,7 +9,8 @@
 length), ``shed`` (status 503 without execution), ``late-refusal`` (``shed``, and once
 more 0.1 s later), ``crash`` (the upstream stops until it is started again),
 ``half-head`` (the connection ends in the head), ``unsealed`` (no
-signature) or one of `ENDLESS_FAULTS` (bytes until the connection ends). It responds to
+signature) or one of `ENDLESS_FAULTS` and `ENDLESS_STARTS` (bytes until the connection
+ends). It responds to
 ``/health`` at once, unless ``health_hangs`` is set.
 """
 
@@ -20,9 +21,22 @@
 
 import httptools
 
-__all__ = ["ENDLESS_FAULTS", "PlatformTarget", "response_seal"]
+__all__ = [
+    "ENDLESS_BODIES",
+    "ENDLESS_FAULTS",
+    "ENDLESS_STARTS",
+    "PlatformTarget",
+    "response_seal",
+]
 
 _CHUNKED = b"Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n"
+_CHUNK = b"1\r\na\r\n"
+# Responses with the seal, which reach the caller.
+ENDLESS_BODIES = {
+    "endless-body": (b"\r\n", b"a"),
+    "endless-length": (b"Content-Length: 1000000000\r\n\r\n", b"a"),
+    "endless-chunks": (b"Transfer-Encoding: chunked\r\n\r\n", _CHUNK),
+}
 # What follows the status line and the request id, and what is repeated after it.
 ENDLESS_FAULTS = {
     "endless-head": (b"", b"x: 1234\r\n"),
@@ -31,6 +45,18 @@
     "endless-trailer": (_CHUNKED + b"0\r\nx: ", b"a"),
     "endless-extension": (_CHUNKED + b"1;x=", b"a"),
     "endless-other": (b"Content-Length: 1000000000\r\n\r\n", b"a"),
+    "endless-refusal": (
+        b"Not-Executed: 1\r\n" + ENDLESS_BODIES["endless-chunks"][0],
+        _CHUNK,
+    ),
+    **ENDLESS_BODIES,
+}
+# The same without a status line and request id.
+ENDLESS_STARTS = {
+    "endless-garbage": (b"", b"\x00\xff"),
+    "endless-line-ends": (b"", b"\r\n"),
+    "endless-reason": (b"HTTP/1.1 200 ", b"a"),
+    "endless-status": (b"HTTP/1.1 ", b"2"),
 }
 ENDLESS_PIECE_BYTES = 64 * 1024
 # Delay of the second response of the fault ``late``.
@@ -74,6 +100,8 @@
         # Processing time in percent of the usual time, as reported in Server-Load.
         self.pace = 100
         self.health_hangs = False
+        # One of `ENDLESS_FAULTS` or `ENDLESS_STARTS` for each health check, or empty.
+        self.health_fault = ""
         self.healthy = True
         # Header fields that every response has besides the usual ones.
         self.extra_fields = []
@@ -208,7 +236,9 @@
         fault = query.get("fault", "")
         if self.url == b"/health":
             target.probes += 1
-            if not target.health_hangs:
+            if target.health_fault:
+                await self._send_without_end(target.health_fault, "")
+            elif not target.health_hangs:
                 status = 200 if target.healthy else 503
                 self._write(status, b"", [("Instance-Id", target.identity)])
             return
@@ -232,7 +262,7 @@
         if fault == "crash":
             await target.stop()
             return
-        if fault in ENDLESS_FAULTS:
+        if fault in ENDLESS_FAULTS or fault in ENDLESS_STARTS:
             await self._send_without_end(fault, request_id)
             return
         body = b"%b of %b" % (target.identity.encode(), request_id.encode())
@@ -240,11 +270,18 @@
         self._answer(fault, request_id, body)
 
     async def _send_without_end(self, fault, request_id):
-        start, repeated = ENDLESS_FAULTS[fault]
-        status = 100 if fault == "endless-interim" else 200
-        named = "another" if fault == "endless-other" else request_id
-        head = f"HTTP/1.1 {status} X\r\nRequest-Id: {named}\r\n"
-        self.transport.write(head.encode() + start)
+        if fault in ENDLESS_STARTS:
+            start, repeated = ENDLESS_STARTS[fault]
+        else:
+            start, repeated = ENDLESS_FAULTS[fault]
+            status = {"endless-interim": 100, "endless-refusal": 503}.get(fault, 200)
+            named = "another" if fault == "endless-other" else request_id
+            head = f"HTTP/1.1 {status} X\r\nRequest-Id: {named}\r\n"
+            if fault in ENDLESS_BODIES:
+                seal = response_seal(self.target.identity, request_id, b"")
+                head += f"Response-Seal: {seal}\r\n"
+            start = head.encode() + start
+        self.transport.write(start)
         while not self.transport.is_closing():
             self.transport.write(repeated * (ENDLESS_PIECE_BYTES // len(repeated)))
             await self.writable.wait()
