Give effect to each leaving that is acknowledged (DRAIN)

'draining' and the departure were answered with 200 and had no effect: about 40 requests reached the upstream later than drain_s after that.

Cause, one on several paths: an announcement that says that a run leaves was held against the order of announcements, and acknowledged whatever came out. - Missing fields were read as defaults. A run that drains never becomes ready again, so it takes effect for its run whenever it arrives. - Without a start time nothing shows that a run started after a departure of its identity; it counts as departed. - A run whose start time lies before that of the current one never counted again, also when a clock was set back. It replaces the current one once that has been silent for 4 s and is not leaving.

--- a/goldcresthoist/node/local_upstream.py
+++ b/goldcresthoist/node/local_upstream.py
@@ -141,10 +141,13 @@
                 self.leaving = True
                 self.last_announced_at = now
             return AnnouncementResult.DEPARTED
-        if run != known and not self._supersedes(announcement, now):
-            return AnnouncementResult.STALE
-        if run == known and announcement.sequence <= self.sequence:
-            return AnnouncementResult.STALE
+        is_late = run == known and announcement.sequence <= self.sequence
+        if is_late or (run != known and not self._supersedes(announcement, now)):
+            if not announcement.draining or not announcement.born_ms:
+                return AnnouncementResult.STALE
+            # A run that drains never becomes ready again, however late it says so.
+            self.leaving |= run == known
+            return AnnouncementResult.DRAINING
         self._store(announcement, now)
         if announcement.draining:
             self.leaving = True
@@ -256,15 +259,22 @@
         return now < self.warm_up_until
 
     def _started_before_departure(self, announcement):
+        if not announcement.born_ms and any(
+            announcement.identity == run[0] for run in self.departed
+        ):
+            # Without a start time, nothing shows that it started after the departure.
+            return True
         before_ms = self.departed_before_ms.get(announcement.identity, -1)
         return announcement.born_ms <= before_ms
 
     def _supersedes(self, announcement, now):
-        if self.identity is None:
+        if self.identity is None or announcement.born_ms > self.born_ms:
             return True
-        if announcement.born_ms != self.born_ms:
-            return announcement.born_ms > self.born_ms
         silent = now - self.last_announced_at > ANNOUNCEMENT_TIMEOUT_S
+        if announcement.born_ms < self.born_ms:
+            # The clock of the instance was set back, or another program has sent an
+            # announcement in the name of the upstream.
+            return silent and not self.leaving
         return self.leaving or self.rejected_run is not None or silent
 
     def _store(self, announcement, now):
--- a/goldcresthoist/node/tests/test_local_upstream.py
+++ b/goldcresthoist/node/tests/test_local_upstream.py
@@ -212,6 +212,58 @@
         self.assertIs(self.announce("i-9", now=10.0), AnnouncementResult.NEW)
 
 
+class AcknowledgedDepartureTest(unittest.TestCase):
+    """Announcements whose acknowledgement promises that calls end."""
+
+    def setUp(self):
+        self.own = LocalUpstream("10.0.0.1:8000", "ledger")
+
+    def announce(self, *args, now=0.0, **values):
+        return self.own.apply_announcement(make_announcement(*args, **values), now)
+
+    def test_draining_announcement_that_was_overtaken(self):
+        """Guards against calls to an upstream whose draining was acknowledged.
+
+        The announcement arrives after one that was sent later, or twice.
+        """
+        self.announce(sequence=9)
+        result = self.announce(sequence=5, draining=True)
+        self.assertIs(result, AnnouncementResult.DRAINING)
+        self.assertFalse(self.own.usable())
+
+    def test_draining_of_an_earlier_run_is_remembered(self):
+        """Guards against a run that gets calls though its draining was acknowledged."""
+        self.announce("i-2", born_ms=2000)
+        result = self.announce("i-1", born_ms=1000, draining=True)
+        self.assertIs(result, AnnouncementResult.DRAINING)
+        self.assertTrue(self.own.usable())
+        self.own.mark_departed("i-1", 1000)
+        self.assertIs(self.announce("i-1", 2, now=9.0), AnnouncementResult.DEPARTED)
+
+    def test_run_that_another_writer_dated_back_is_used_again(self):
+        """Guards against an upstream whose announcements never count again.
+
+        Another writer named its id and a later start time, or its clock was set back.
+        """
+        self.announce(born_ms=9000)
+        self.assertIs(self.announce(sequence=7, now=2.0), AnnouncementResult.STALE)
+        self.assertIs(self.announce(sequence=9, now=5.0), AnnouncementResult.NEW)
+        self.announce(sequence=10, now=6.0, draining=True)
+        self.assertFalse(self.own.usable())
+
+    def test_run_without_a_start_time_does_not_undo_a_departure(self):
+        """Guards against a departed run that another writer brings back."""
+        self.own.mark_departed("i-1", 1000)
+        self.assertIs(self.announce(born_ms=0), AnnouncementResult.DEPARTED)
+        self.assertFalse(self.own.usable())
+
+    def test_late_run_does_not_replace_one_that_leaves(self):
+        """Guards against calls to an upstream that leaves, under an earlier start."""
+        self.announce(born_ms=2000, draining=True)
+        self.assertIs(self.announce(now=9.0), AnnouncementResult.STALE)
+        self.assertFalse(self.own.usable())
+
+
 class UnconfirmedRunTest(unittest.TestCase):
     """Announcements to a daemon that may have lost the memory of a departure."""
 
--- a/goldcresthoist/platform/announcements.py
+++ b/goldcresthoist/platform/announcements.py
@@ -56,15 +56,16 @@
     born_ms: int
 
 
+# A heartbeat without the service, slots, state or sequence comes from another writer.
 class _Info(msgspec.Struct, frozen=True):
     service: str
-    slots: int = 1
+    slots: int
     zone: str = ""
 
 
 class _Status(msgspec.Struct, frozen=True):
     state: str
-    sequence: int = 0
+    sequence: int
     cold_left_s: float = 0.0
 
 
--- a/goldcresthoist/platform/tests/test_formats.py
+++ b/goldcresthoist/platform/tests/test_formats.py
@@ -95,6 +95,8 @@
             HEARTBEAT.replace(b'"sequence":4', b'"sequence":-4'),
             HEARTBEAT.replace(b"1790000000123", b"1790000000123.5"),
             HEARTBEAT.replace(b'"service":"ledger",', b""),
+            HEARTBEAT.replace(b'"slots":12', b'"x":12'),
+            HEARTBEAT.replace(b'"sequence":4', b'"x":4'),
             HEARTBEAT.replace(b'"address":"10.0.0.1:8000",', b""),
         )
         for body in bad:
@@ -106,13 +108,17 @@
 
         A start time or number that is too large cannot be stored or sent either.
         """
-        good = b'{"address":"a","info":{"service":"s"},"status":{"state":"ready"}'
+        good = b'{"address":"a","info":{"service":"s","slots":1}'
+        good += b',"status":{"state":"ready","sequence":1}'
+        self.assertEqual(decode_announcement("i-1", good + b"}").sequence, 1)
         nested = b"[" * 100_000 + b"]" * 100_000
         for extra in (b'"born":%d' % 10**30, b'"born":1e400', b'"x":' + nested):
             with self.assertRaises(InvalidMessage):
                 decode_announcement("i-1", good + b"," + extra + b"}")
         with self.assertRaises(InvalidMessage):
-            decode_announcement("i-1", good[:-1] + b',"sequence":%d}}' % 10**30)
+            decode_announcement(
+                "i-1", good.replace(b'"sequence":1', b'"sequence":%d' % 10**30) + b"}"
+            )
         with self.assertRaises(InvalidMessage):
             decode_departure("i-1", b'{"born":%d}' % 10**30)
 
