--- a/goldcresthoist/http_fields.py
+++ b/goldcresthoist/http_fields.py
@@ -9,6 +9,7 @@
     "REASON_PHRASES",
     "end_to_end_headers",
     "header_value",
+    "requested_host",
     "without_connection_options",
 ]
 
@@ -43,6 +44,15 @@
     return None
 
 
+def requested_host(headers):
+    """Return the host name in the ``Host`` header in lower case, without the port.
+
+    It is empty when there is no such header.
+    """
+    value = header_value(headers, b"host") or b""
+    return value.decode("latin-1").partition(":")[0].lower()
+
+
 def end_to_end_headers(headers):
     """Return the end-to-end headers, which a proxy forwards.
 
--- a/goldcresthoist/node/entry.py
+++ b/goldcresthoist/node/entry.py
@@ -8,6 +8,7 @@
 from goldcresthoist.callers import CallerError
 from goldcresthoist.clock import monotonic
 from goldcresthoist.deadlines import deadline_at
+from goldcresthoist.http_fields import requested_host
 from goldcresthoist.node.request import EntryRequest
 from goldcresthoist.platform.fields import parse_request_fields, refusal_headers
 
@@ -82,7 +83,7 @@
             )
             return
         path = request.target.partition("?")[0]
-        route = table.route_for(_host(request.headers), path)
+        route = table.route_for(requested_host(request.headers), path)
         if route is None:
             self.refuse(exchange, 404, "unknown-route", fields.request_id)
             return
@@ -151,10 +152,3 @@
         body = msgspec.json.encode({"code": code})
         headers = refusal_headers(request_id, retry_after_s)
         exchange.start(status, headers, body, True)
-
-
-def _host(headers):
-    for name, value in headers:
-        if name == b"host":
-            return value.decode("latin-1").partition(":")[0].lower()
-    return ""
--- a/goldcresthoist/node/request.py
+++ b/goldcresthoist/node/request.py
@@ -9,7 +9,7 @@
 from goldcresthoist.daemon.attempt import Attempt
 from goldcresthoist.daemon.relay import relay_response
 from goldcresthoist.daemon.request_matching import fingerprint
-from goldcresthoist.http_fields import header_value
+from goldcresthoist.http_fields import header_value, requested_host
 from goldcresthoist.links import LinkClosed
 from goldcresthoist.links.frames import Failed, FailureKind, Head, Open, Refuse
 from goldcresthoist.node.serving import MAX_CRASHES
@@ -19,8 +19,10 @@
 __all__ = ["EntryRequest"]
 
 # A request body of up to this size is sent in the `Open` frame and kept for retries. A
-# larger body is streamed after the serving daemon has assigned a slot.
+# larger body is streamed after the serving daemon has assigned a slot; only its first
+# bytes are sent with each offer. They tell requests to one path apart.
 MAX_PREFIX_BYTES = 8 * 1024
+LARGE_PREFIX_BYTES = 1024
 # Largest number of offers of one request before it is refused.
 MAX_OFFERS = 5
 # Number of offers that are left to a retry at least.
@@ -84,8 +86,8 @@
     service : ServiceState
         Service that was chosen for the request.
     prefix : bytes
-        Start of the request body, which is sent with each offer; empty when the
-        ``Content-Length`` exceeds `MAX_PREFIX_BYTES`.
+        Start of the request body, which is sent with each offer; up to
+        `LARGE_PREFIX_BYTES` when the ``Content-Length`` exceeds `MAX_PREFIX_BYTES`.
     body_complete : bool
         Whether `prefix` is the whole body.
     body_started : bool
@@ -141,6 +143,7 @@
         "fingerprint",
         "first_sent",
         "headers",
+        "host",
         "is_last_offer",
         "loop",
         "offers",
@@ -181,6 +184,7 @@
         # `Attempt` and `relay_response` read their attributes from this adapter.
         self.route = _RouteAdapter(self.state, selected.service)
         self.target = request.target
+        self.host = requested_host(request.headers)
         self.headers = upstream_headers(request.headers, entry.caller_service)
         self.prefix = b""
         self.body_complete = request.body.exhausted
@@ -341,11 +345,13 @@
         if not self.body_complete:
             self.exchange.send_continue()
             length = self.request.content_length
-            if length is None or length <= MAX_PREFIX_BYTES:
-                self.prefix = await body.read_up_to(MAX_PREFIX_BYTES)
-                self.body_complete = body.exhausted
+            is_large = length is not None and length > MAX_PREFIX_BYTES
+            limit = LARGE_PREFIX_BYTES if is_large else MAX_PREFIX_BYTES
+            self.prefix = await body.read_up_to(limit)
+            self.body_complete = body.exhausted
+        # Another host may have other work at the same path.
         self.fingerprint = fingerprint(
-            self.entry.caller_service.decode(),
+            f"{self.entry.caller_service.decode()} {self.host}",
             self.request.method,
             self.target,
             self.request.content_length,
--- a/goldcresthoist/node/tests/loopback_cluster.py
+++ b/goldcresthoist/node/tests/loopback_cluster.py
@@ -202,6 +202,7 @@
         wait_ms=3000,
         headers=(),
         request_id=None,
+        host="site.example",
     ):
         """Send one request as a caller on the instance.
 
@@ -216,7 +217,7 @@
         request_id = request_id or f"q{next(self.ids)}"
         reader, writer = await asyncio.open_connection(ip, 8629)
         try:
-            lines = [f"{method} {path} HTTP/1.1", "Host: site.example"]
+            lines = [f"{method} {path} HTTP/1.1", f"Host: {host}"]
             lines.append(f"Request-Id: {request_id}")
             lines.append(f"Deadline-Ms: {wait_ms}")
             lines.extend(headers)
--- a/goldcresthoist/node/tests/test_crash_suspects.py
+++ b/goldcresthoist/node/tests/test_crash_suspects.py
@@ -5,7 +5,11 @@
 import unittest
 
 from goldcresthoist.fleet.messages import SuspectNotice
-from goldcresthoist.node.tests.loopback_cluster import LoopbackCluster, wait_until
+from goldcresthoist.node.tests.loopback_cluster import (
+    LoopbackCluster,
+    configuration,
+    wait_until,
+)
 
 CRASHING = "/write/1?fault=crash"
 
@@ -20,16 +24,22 @@
     async def asyncTearDown(self):
         await self.fleet.stop()
 
-    async def crash(self, count=3):
+    async def crash(self, count=3, **request):
         """Let a request crash its upstream some times; the upstream is restarted."""
+        runs = len(self.target.runs)
         for _ in range(count):
             # The service of the sender is a part of what identifies the request.
-            await self.fleet.call(self.first, CRASHING, "POST")
+            await self.fleet.call(self.first, CRASHING, "POST", **request)
             self.target.born_ms = max(int(time.time() * 1000), self.target.born_ms + 1)
             self.target.sequence = 0
             await self.target.start()
             await wait_until(self.fleet.settled)
-        self.assertEqual(len(self.target.runs), count)
+        self.assertEqual(len(self.target.runs), runs + count)
+
+    def counts(self):
+        """Return the crash counts that the serving daemon has, in order."""
+        suspects = self.fleet.nodes[self.third].suspects.by_fingerprint.values()
+        return sorted(item.count for item in suspects)
 
     async def assert_refused(self, ip):
         """Check that the request is refused at this daemon and does not run."""
@@ -108,6 +118,26 @@
         counts = [node.suspects.by_fingerprint for node in self.fleet.nodes.values()]
         self.assertEqual(counts, [{}, {}, {}])
 
+    async def test_other_host(self):
+        """Guards against a crashing request that the answer of another host clears.
+
+        The other host has other work at the same path, from the same callers.
+        """
+        document = configuration(2)
+        route = next(item for item in document["routes"] if item["name"] == "write")
+        document["routes"].append(route | {"name": "other", "host": "other.example"})
+        self.fleet.configure(document)
+        await wait_until(lambda: self.fleet.nodes[self.first].watch.version == 2)
+        await self.crash(2)
+        await self.crash(1, host="other.example")
+        self.assertEqual(self.counts(), [1, 2])
+
+    async def test_large_bodies(self):
+        """Guards against a crashing upload that another one of its length clears."""
+        await self.crash(2, body=b"a" * 20_000)
+        await self.crash(1, body=b"b" * 20_000)
+        self.assertEqual(self.counts(), [1, 2])
+
     async def test_report_does_not_extend_the_suspicion(self):
         """Guards against a suspicion that daemons pass on to each other for ever."""
         node = self.fleet.nodes[self.first]
