Ignore the reload signal until the daemon can handle it

Cause: the handlers are installed after the modules are loaded, and the default of SIGHUP ends a process. The signal is ignored from the first line of main() on, and the settings file is compared once more after the start, so a change that was announced meanwhile is not missed. The soak's daemons start the same way (soak/run_daemon.py), as their modules load before main().

test_reload_signal_during_the_start failed before (SIG_DFL).

--- a/goldcresthoist/node/lifecycle.py
+++ b/goldcresthoist/node/lifecycle.py
@@ -149,7 +149,8 @@
 async def _watch_settings(node, reload):
     """Reload the settings on SIGHUP and whenever the content of the file changes."""
     path = Path(settings_path())
-    known = _read_text(path)
+    # The file may have changed since the process read it.
+    known = None
     while True:
         try:
             async with asyncio.timeout(SETTINGS_POLL_S):
--- a/goldcresthoist/node/tests/test_lifecycle.py
+++ b/goldcresthoist/node/tests/test_lifecycle.py
@@ -1,14 +1,23 @@
 """Tests of the start of the daemon."""
 
 import asyncio
+import os
+import signal
+import tempfile
 import unittest
 from types import SimpleNamespace
+from unittest import mock
 
 from goldcresthoist.fleet.tests.builders import FakeLog
+from goldcresthoist.node import main
 from goldcresthoist.node.lifecycle import (
     MEMBERS_TIMEOUT_S,
     _start_configuration_watch,
+    _watch_settings,
 )
+from goldcresthoist.node.tests.loopback_cluster import settings_text
+from goldcresthoist.platform import NodeSettings
+from goldcresthoist.platform.settings import SETTINGS_VARIABLE
 
 
 class FakeWatch:
@@ -56,5 +65,40 @@
         self.assertEqual(node.log.events[0][0], "members unknown")
 
 
+class SettingsTest(unittest.IsolatedAsyncioTestCase):
+    def test_reload_signal_during_the_start(self):
+        """Guards against a daemon that ends as its settings change while it starts."""
+        seen = []
+        before = signal.getsignal(signal.SIGHUP)
+        self.addCleanup(signal.signal, signal.SIGHUP, before)
+
+        def run():
+            seen.append(signal.getsignal(signal.SIGHUP))
+            return 0
+
+        with mock.patch("goldcresthoist.node.lifecycle.run", run):
+            self.assertEqual(main(), 0)
+        self.assertEqual(seen, [signal.SIG_IGN])
+
+    async def test_settings_that_change_during_the_start(self):
+        """Guards against a change of the settings that no signal announces again."""
+        text = settings_text("127.0.0.1", "ledger", "127.0.0.1:9")
+        node = SimpleNamespace(
+            settings=NodeSettings.from_text(text),
+            log=FakeLog(),
+            reconfigure=mock.Mock(),
+        )
+        with tempfile.NamedTemporaryFile("w", suffix=".toml") as file:
+            file.write(text.replace('"ledger"', '"listen"'))
+            file.flush()
+            variables = {SETTINGS_VARIABLE: file.name}
+            with mock.patch.dict(os.environ, variables):
+                task = asyncio.create_task(_watch_settings(node, asyncio.Event()))
+                await asyncio.sleep(1.5)
+                task.cancel()
+        (call,) = node.reconfigure.mock_calls
+        self.assertEqual(call.args[0].service, "listen")
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/goldcresthoist/tests/soak/daemon.py
+++ b/goldcresthoist/tests/soak/daemon.py
@@ -13,20 +13,18 @@
 
 import json
 import os
-import sys
 import time
 from pathlib import Path
 
 from goldcresthoist.fleet import ConfigurationWatch, Directory, FleetChannel
 from goldcresthoist.fleet.registration import Registration
 from goldcresthoist.links import pool
-from goldcresthoist.node import lifecycle
 from goldcresthoist.node.call_execution import CallExecution
 from goldcresthoist.node.local_upstream import AnnouncementResult, LocalUpstream
 from goldcresthoist.pauses import PauseDetector
 from goldcresthoist.upstreams import UpstreamBroken
 
-__all__ = ["DISABLED_MECHANISMS", "SETTINGS_VARIABLE"]
+__all__ = ["DISABLED_MECHANISMS", "SETTINGS_VARIABLE", "prepare"]
 
 SETTINGS_VARIABLE = "GOLDCRESTHOIST_SOAK"
 
@@ -140,15 +138,10 @@
 }
 
 
-def main():
-    """Run the daemon; return its exit status."""
+def prepare():
+    """Apply the settings in the environment to the modules of the daemon."""
     settings = json.loads(os.environ[SETTINGS_VARIABLE])
     _use_proxies(settings["proxies"])
     _use_clock(Path(settings["clock"]))
     if settings["disabled"]:
         DISABLED_MECHANISMS[settings["disabled"]]()
-    return lifecycle.run()
-
-
-if __name__ == "__main__":
-    sys.exit(main())
--- a/goldcresthoist/tests/soak/fleet.py
+++ b/goldcresthoist/tests/soak/fleet.py
@@ -129,7 +129,7 @@
         self.processes[ip] = await asyncio.create_subprocess_exec(
             sys.executable,
             "-m",
-            "goldcresthoist.tests.soak.daemon",
+            "goldcresthoist.tests.soak.run_daemon",
             cwd=ROOT,
             env=os.environ
             | {
