Identify the workspace of a request by its key

Cause: with workspaces in the configuration, requests ran without a check of their key, and the key was passed on to upstreams, which got no workspace name. Change: keys are checked for each request against the version in force, the name replaces the key, and the rank of the workspace goes before that of the route. The link, the queue and the settings carry what the other parts need. Without workspaces in the configuration nothing changes.

--- a/goldcresthoist/balance/slots.py
+++ b/goldcresthoist/balance/slots.py
@@ -88,6 +88,8 @@
         Time from which a response has less than its full value.
     alternatives : int
         Number of other upstreams that could still run the call.
+    workspace : str
+        Name of the workspace of the call; empty when it has none.
     """
 
     work: str
@@ -95,6 +97,7 @@
     deadline: float
     soft_deadline: float
     alternatives: int
+    workspace: str = ""
 
 
 class _StartDecision(enum.Enum):
--- a/goldcresthoist/links/frames.py
+++ b/goldcresthoist/links/frames.py
@@ -137,6 +137,8 @@
     repeatable : bool
         Whether the work may be executed more than once. Work that may not is completed
         even when its caller disconnects.
+    workspace : str
+        Name of the workspace of the request; empty when it has none.
     """
 
     call_id: int
@@ -156,6 +158,7 @@
     soft_deadline_us: int = 0
     alternatives: int = 0
     repeatable: bool = False
+    workspace: str = ""
 
 
 class Body(msgspec.Struct, frozen=True, array_like=True, tag=5):
--- a/goldcresthoist/node/entry.py
+++ b/goldcresthoist/node/entry.py
@@ -11,6 +11,7 @@
 from goldcresthoist.http_fields import requested_host
 from goldcresthoist.node.request import EntryRequest
 from goldcresthoist.platform.fields import parse_request_fields, refusal_headers
+from goldcresthoist.workspaces import Identified, Rejected
 
 __all__ = ["EntryServer"]
 
@@ -87,6 +88,14 @@
         if route is None:
             self.refuse(exchange, 404, "unknown-route", fields.request_id)
             return
+        workspace = None
+        if table.workspaces is not None:
+            match table.workspaces.identify(fields.key, route.public):
+                case Identified(workspace=workspace):
+                    pass
+                case Rejected():
+                    self.refuse(exchange, 401, "unknown-key", fields.request_id)
+                    return
         length = request.content_length
         if length is not None and length > table.limits.max_body_bytes:
             self.refuse(exchange, 413, "body-too-large", fields.request_id)
@@ -104,7 +113,7 @@
             self.refuse(exchange, 503, "stopping", fields.request_id, NOT_READY_RETRY_S)
             return
         entry_request = EntryRequest(
-            self, route, table, request, exchange, fields, wait_s
+            self, route, table, request, exchange, fields, wait_s, workspace
         )
         self.in_progress += 1
         limit = deadline_at(entry_request.deadline)
--- a/goldcresthoist/node/request.py
+++ b/goldcresthoist/node/request.py
@@ -15,6 +15,7 @@
 from goldcresthoist.node.serving import MAX_CRASHES
 from goldcresthoist.node.transfers import CALL_BYTES
 from goldcresthoist.platform.fields import upstream_headers
+from goldcresthoist.workspaces import combined_priority
 
 __all__ = ["EntryRequest"]
 
@@ -70,6 +71,8 @@
     fields : RequestFields
     wait_s : float
         Time in seconds for which the caller waits.
+    workspace : Workspace or None
+        Workspace of the request; None when it has none.
 
     Attributes
     ----------
@@ -83,6 +86,8 @@
     state : RouteState
     rule : WorkRule
         Gives the usual time of the route at the arrival of the request.
+    priority : int
+        Rank of the request under overload; lower numbers are served first.
     service : ServiceState
         Service that was chosen for the request.
     prefix : bytes
@@ -149,6 +154,7 @@
         "offers",
         "outcome",
         "prefix",
+        "priority",
         "request",
         "reserved_bytes",
         "retry_after_s",
@@ -162,9 +168,12 @@
         "unanswered",
         "upstream_attempts",
         "version",
+        "workspace",
     )
 
-    def __init__(self, entry, route, table, request, exchange, fields, wait_s):
+    def __init__(
+        self, entry, route, table, request, exchange, fields, wait_s, workspace=None
+    ):
         self.entry = self.router = entry
         self.loop = entry.loop
         self.request = request
@@ -185,7 +194,13 @@
         self.route = _RouteAdapter(self.state, selected.service)
         self.target = request.target
         self.host = requested_host(request.headers)
-        self.headers = upstream_headers(request.headers, entry.caller_service)
+        self.workspace = workspace
+        self.priority = route.priority
+        name = None
+        if table.workspaces is not None:
+            self.priority = combined_priority(route.priority, workspace)
+            name = "" if workspace is None else workspace.name
+        self.headers = upstream_headers(request.headers, entry.caller_service, name)
         self.prefix = b""
         self.body_complete = request.body.exhausted
         self.body_started = False
@@ -274,10 +289,11 @@
             self.prefix,
             self.body_complete,
             hedge,
-            route.priority,
+            self.priority,
             max(0, int((self.soft_deadline - now) * 1e6)),
             self._count_alternatives(now),
             route.repeatable,
+            "" if self.workspace is None else self.workspace.name,
         )
 
     def on_deadline(self):
@@ -332,6 +348,7 @@
             route=self.rule.name,
             service=self.service.name,
             version=self.version,
+            **({} if self.workspace is None else {"workspace": self.workspace.name}),
             outcome=self.outcome,
             status=status,
             first_sent_ms=round((self.arrived - self.first_sent) * 1000),
--- a/goldcresthoist/node/serving.py
+++ b/goldcresthoist/node/serving.py
@@ -288,6 +288,7 @@
             deadline,
             sent_at + message.soft_deadline_us / 1e6,
             message.alternatives,
+            message.workspace,
         )
         try:
             future = self.queue.admit(slot_call, now)
--- a/goldcresthoist/platform/__init__.py
+++ b/goldcresthoist/platform/__init__.py
@@ -15,6 +15,7 @@
 from goldcresthoist.platform.configuration import (
     CONFIGURATION_KEY,
     CONFIGURATION_TABLE,
+    DRAINED_DOMAIN_PREFIX,
     decode_configuration,
 )
 from goldcresthoist.platform.errors import (
@@ -34,6 +35,7 @@
 __all__ = [
     "CONFIGURATION_KEY",
     "CONFIGURATION_TABLE",
+    "DRAINED_DOMAIN_PREFIX",
     "Announcement",
     "Bounds",
     "Departure",
--- a/goldcresthoist/platform/configuration.py
+++ b/goldcresthoist/platform/configuration.py
@@ -18,13 +18,22 @@
     RoutingTable,
     UnknownKind,
     Upload,
+    WarmUpLimit,
     WeightedService,
 )
+from goldcresthoist.workspaces import Workspace, WorkspaceDirectory
 
-__all__ = ["CONFIGURATION_KEY", "CONFIGURATION_TABLE", "decode_configuration"]
+__all__ = [
+    "CONFIGURATION_KEY",
+    "CONFIGURATION_TABLE",
+    "DRAINED_DOMAIN_PREFIX",
+    "decode_configuration",
+]
 
 CONFIGURATION_TABLE = "op"
 CONFIGURATION_KEY = "config"
+# Keys of the rows that drain a failure domain, which is named after the prefix.
+DRAINED_DOMAIN_PREFIX = "evacuate/"
 
 _KINDS = {
     "idempotent": Idempotent(),
@@ -53,11 +62,22 @@
     max_attempts: int = 1
     service: str = ""
     weighted_services: tuple[_WeightedService, ...] = ()
+    public: bool = False
 
 
 class _Service(msgspec.Struct, frozen=True):
     name: str
     health_path: str = ""
+    cold_start_s: float = 0.0
+    cold_per_s: float = 0.0
+
+
+class _Tenant(msgspec.Struct, frozen=True):
+    name: str
+    api_keys: tuple[str, ...] = ()
+    priority: int | None = None
+    rate_per_s: float = 0.0
+    burst: float = 0.0
 
 
 class _Limits(msgspec.Struct, frozen=True):
@@ -72,6 +92,7 @@
     routes: tuple[_Route, ...] = ()
     services: tuple[_Service, ...] = ()
     limits: _Limits = _Limits()
+    tenants: tuple[_Tenant, ...] | None = None
 
 
 def decode_configuration(content):
@@ -105,6 +126,28 @@
             limits.idle_timeout_s,
         ),
         _find_unknown(document, decoded),
+        _workspaces(decoded.tenants),
+        {
+            item.name: WarmUpLimit(item.cold_start_s, item.cold_per_s)
+            for item in decoded.services
+            if item.cold_per_s > 0
+        },
+    )
+
+
+def _workspaces(tenants):
+    """Return the `WorkspaceDirectory`, or None when there are no workspaces."""
+    if not tenants:
+        return None
+    return WorkspaceDirectory(
+        Workspace(
+            item.name,
+            item.api_keys,
+            item.priority,
+            max(0.0, item.rate_per_s),
+            max(0.0, item.burst),
+        )
+        for item in tenants
     )
 
 
@@ -116,6 +159,7 @@
     parts = [("", _Configuration, [document])]
     parts.append(("limits.", _Limits, [document.get("limits", {})]))
     parts.append(("services[].", _Service, document.get("services", ())))
+    parts.append(("tenants[].", _Tenant, document.get("tenants") or ()))
     routes = document.get("routes", ())
     parts.append(("routes[].", _Route, routes))
     weighted = [part for route in routes for part in route.get("weighted_services", ())]
@@ -150,4 +194,5 @@
         item.priority,
         parts,
         1 if isinstance(kind, UnknownKind) else max(1, item.max_attempts),
+        item.public,
     )
--- a/goldcresthoist/platform/fields.py
+++ b/goldcresthoist/platform/fields.py
@@ -1,7 +1,7 @@
 """The platform's header fields in requests and responses."""
 
 import math
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from goldcresthoist.http_fields import header_value
 
@@ -25,9 +25,14 @@
 _SERVER_LIMIT = b"server-limit"
 _SERVER_LEAVING = b"server-leaving"
 _INSTANCE_ID = b"instance-id"
+_API_KEY = b"x-api-key"
+_TENANT_ID = b"tenant-id"
+_COLD_REMAINING = b"cold-remaining-ms"
 
 # Fields that a daemon sets in requests to an upstream; those of the caller are removed.
 _DAEMON_FIELDS = frozenset((_DEADLINE, _CALLER_SERVICE, _EXPECTED_INSTANCE))
+# Further fields that are removed where the configuration has workspaces.
+_WORKSPACE_FIELDS = _DAEMON_FIELDS | {_API_KEY, _TENANT_ID}
 MAX_IDENTITY_BYTES = 200
 # A longer wait that a caller gives is reduced to this one.
 MAX_DEADLINE_MS = 3_600_000
@@ -41,12 +46,13 @@
     """The platform's fields of a request.
 
     ``request_id`` is the id that the caller gave to the request. ``wait_s`` is the time
-    for which the caller waits for the response, in seconds. Both are None when the
-    request does not give them.
+    for which the caller waits for the response, in seconds. ``key`` is the secret key
+    of a workspace. Each is None when the request does not give it.
     """
 
     request_id: bytes | None
     wait_s: float | None
+    key: bytes | None = field(default=None, repr=False)
 
 
 @dataclass(frozen=True, slots=True)
@@ -77,6 +83,9 @@
         it names no limit.
     leaving : bool
         Whether the upstream states that it leaves.
+    warm_up_s : float or None
+        Time for which the upstream still warms up, in seconds; None when it does not
+        say so.
     """
 
     request_id: bytes | None
@@ -90,6 +99,7 @@
     identity: str | None = None
     limit_per_s: float | None = None
     leaving: bool = False
+    warm_up_s: float | None = None
 
 
 def parse_request_fields(headers):
@@ -98,10 +108,12 @@
     value = header_value(headers, _DEADLINE)
     if value is not None and value.isdigit() and len(value) < 12:
         wait_s = min(int(value), MAX_DEADLINE_MS) / 1000.0
-    return RequestFields(header_value(headers, _REQUEST_ID), wait_s)
+    return RequestFields(
+        header_value(headers, _REQUEST_ID), wait_s, header_value(headers, _API_KEY)
+    )
 
 
-def upstream_headers(headers, caller_service):
+def upstream_headers(headers, caller_service, workspace=None):
     """Return the headers of a request that do not depend on the upstream.
 
     Parameters
@@ -109,9 +121,15 @@
     headers : iterable of (bytes, bytes)
         Headers of the caller's request, with lower-case names.
     caller_service : bytes
+    workspace : str or None
+        Name of the workspace of the request, "" if it has none; None where the
+        configuration has no workspaces.
     """
-    kept = [item for item in headers if item[0] not in _DAEMON_FIELDS]
+    removed = _DAEMON_FIELDS if workspace is None else _WORKSPACE_FIELDS
+    kept = [item for item in headers if item[0] not in removed]
     kept.append((_CALLER_SERVICE, caller_service))
+    if workspace:
+        kept.append((_TENANT_ID, workspace.encode()))
     return tuple(kept)
 
 
@@ -188,9 +206,17 @@
         _identity(header_value(headers, _INSTANCE_ID)),
         _limit_per_s(header_value(headers, _SERVER_LIMIT)),
         header_value(headers, _SERVER_LEAVING) == b"1",
+        _warm_up_s(header_value(headers, _COLD_REMAINING)),
     )
 
 
+def _warm_up_s(value):
+    """Return a time given in whole milliseconds, or None."""
+    if value is None or not value.isdigit() or len(value) > 9:
+        return None
+    return int(value) / 1000.0
+
+
 def _limit_per_s(value):
     """Return a limit that is a finite decimal number and not negative, or None."""
     try:
--- a/goldcresthoist/platform/settings.py
+++ b/goldcresthoist/platform/settings.py
@@ -32,6 +32,15 @@
     retry_share: float = 0.2
     retry_window_s: float = 10.0
     retry_reserve: float = 50.0
+    # In each window, the requests of a workspace that run may exceed those of its quota
+    # by this share plus the fixed reserve.
+    quota_window_s: float = 5.0
+    quota_share: float = 0.1
+    quota_reserve: float = 20.0
+    # In each second, an upstream that warms up may get up to this multiple of the
+    # requests that it bears, plus the fixed reserve.
+    warm_up_share: float = 1.5
+    warm_up_reserve: float = 8.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -149,6 +158,11 @@
         retry_share=read.number(name + "retry_budget_ratio", defaults.retry_share),
         retry_window_s=read.number(name + "budget_window_s", defaults.retry_window_s),
         retry_reserve=read.number(name + "budget_slack", defaults.retry_reserve),
+        quota_window_s=read.number(name + "quota_window_s", defaults.quota_window_s),
+        quota_share=read.number(name + "quota_overage", defaults.quota_share),
+        quota_reserve=read.number(name + "quota_slack", defaults.quota_reserve),
+        warm_up_share=read.number(name + "cold_overage", defaults.warm_up_share),
+        warm_up_reserve=read.number(name + "cold_slack", defaults.warm_up_reserve),
     )
 
 
--- a/goldcresthoist/platform/tests/test_formats.py
+++ b/goldcresthoist/platform/tests/test_formats.py
@@ -24,7 +24,9 @@
     NonIdempotent,
     UnknownKind,
     Upload,
+    WarmUpLimit,
 )
+from goldcresthoist.workspaces import Workspace
 
 HEARTBEAT = (
     b'{"address":"10.0.0.1:8000","info":{"service":"ledger","version":"v1",'
@@ -228,6 +230,31 @@
         )
         self.assertEqual(decode_configuration(CONFIGURATION).unknown, ())
 
+    def test_workspaces(self):
+        """Guards against workspaces, limits or public routes that are misread."""
+        content = CONFIGURATION.replace(
+            b'"base_version":5',
+            b'"tenants":[{"name":"a","api_keys":["k"],"priority":0,"rate_per_s":5,'
+            b'"burst":7.5},{"name":"b","api_keys":[],"priority":null}]',
+        ).replace(b'"name":"r3"', b'"public":true,"name":"r3"')
+        content = content.replace(
+            b'"health_path"', b'"cold_start_s":3.0,"cold_per_s":7.5,"health_path"'
+        )
+        table = decode_configuration(content)
+        first = table.workspaces.by_name["a"]
+        self.assertEqual(first, Workspace("a", ("k",), 0, 5.0, 7.5))
+        self.assertEqual(table.workspaces.by_name["b"], Workspace("b", ()))
+        self.assertEqual([item.public for item in table.routes], [False, False, True])
+        self.assertEqual(table.warm_up_limits, {"s1": WarmUpLimit(3.0, 7.5)})
+        self.assertEqual(table.unknown, ())
+        for tenants in (b'"tenants":[]', b'"tenants":null', b'"base_version":5'):
+            content = CONFIGURATION.replace(b'"base_version":5', tenants)
+            self.assertIsNone(decode_configuration(content).workspaces)
+        for tenants in (b'"tenants":[{"api_keys":["k"]}]', b'"tenants":{"a":1}'):
+            content = CONFIGURATION.replace(b'"base_version":5', tenants)
+            with self.assertRaises(InvalidMessage):
+                decode_configuration(content)
+
     def test_host_names_match_in_any_case(self):
         """Guards against a route that no request matches."""
         content = CONFIGURATION.replace(b'"host":"h"', b'"host":"H.Example"')
@@ -300,6 +327,33 @@
             ),
         )
 
+    def test_workspace_fields(self):
+        """Guards against a key that is passed on, or a name that the caller chose.
+
+        Without workspaces in the configuration, the fields are those of the caller.
+        """
+        sent = [(b"x-api-key", b"secret"), (b"tenant-id", b"forged")]
+        service = (b"caller-service", b"ledger")
+        self.assertEqual(upstream_headers(sent, b"ledger"), (*sent, service))
+        self.assertEqual(upstream_headers(sent, b"ledger", ""), (service,))
+        self.assertEqual(
+            upstream_headers(sent, b"ledger", "ours"),
+            (service, (b"tenant-id", b"ours")),
+        )
+        fields = parse_request_fields(sent)
+        self.assertEqual(fields.key, b"secret")
+        self.assertNotIn("secret", repr(fields))
+
+    def test_warm_up(self):
+        """Guards against a malformed time that counts as a long or no warm-up."""
+        for value, expected in ((b"1500", 1.5), (b"0", 0.0), (b"-1", None)):
+            fields = parse_response_fields([(b"cold-remaining-ms", value)])
+            self.assertEqual(fields.warm_up_s, expected)
+        for value in (b"", b"1e3", b"nan", b"9" * 30):
+            fields = parse_response_fields([(b"cold-remaining-ms", value)])
+            self.assertIsNone(fields.warm_up_s, value)
+        self.assertIsNone(parse_response_fields([]).warm_up_s)
+
     def test_response(self):
         """Guards against a load or a "not-executed" field that is misread."""
         decoded = parse_response_fields(
--- a/goldcresthoist/routes/__init__.py
+++ b/goldcresthoist/routes/__init__.py
@@ -10,6 +10,7 @@
     RoutingTable,
     UnknownKind,
     Upload,
+    WarmUpLimit,
     WeightedService,
 )
 from goldcresthoist.routes.shares import WeightedRoundRobin
@@ -25,5 +26,6 @@
     "RoutingTable",
     "UnknownKind",
     "Upload",
+    "WarmUpLimit",
     "WeightedRoundRobin",
 ]
--- a/goldcresthoist/routes/model.py
+++ b/goldcresthoist/routes/model.py
@@ -13,6 +13,7 @@
     "RoutingTable",
     "UnknownKind",
     "Upload",
+    "WarmUpLimit",
 ]
 
 
@@ -83,6 +84,8 @@
     max_attempts : int
         Largest number of upstreams that one request may reach, retries and hedges
         included; 1 for an `UnknownKind`.
+    public : bool
+        Whether requests need no key where the configuration has workspaces.
     """
 
     name: str
@@ -94,6 +97,7 @@
     priority: int
     weighted_services: tuple[WeightedService, ...]
     max_attempts: int
+    public: bool = False
 
     @property
     def repeatable(self):
@@ -120,6 +124,22 @@
     idle_timeout_s: float = 120.0
 
 
+@dataclass(frozen=True, slots=True)
+class WarmUpLimit:
+    """Load that an upstream bears while it warms up.
+
+    Attributes
+    ----------
+    duration_s : float
+        Time that a warm-up takes after a start.
+    per_s : float
+        Requests a second that the upstream bears meanwhile, over all daemons.
+    """
+
+    duration_s: float
+    per_s: float
+
+
 class RoutingTable:
     """The routes of one configuration version.
 
@@ -133,14 +153,29 @@
     unknown : iterable of str
         What the configuration says and this release does not understand. The rest is
         in force.
+    workspaces : WorkspaceDirectory or None
+        None when requests need no key.
+    warm_up_limits : dict of str to WarmUpLimit
+        By service name; services without a limit are left out.
     """
 
-    def __init__(self, version, routes, services, limits, unknown=()):
+    def __init__(
+        self,
+        version,
+        routes,
+        services,
+        limits,
+        unknown=(),
+        workspaces=None,
+        warm_up_limits=None,
+    ):
         self.version = version
         self.routes = tuple(routes)
         self.services = services
         self.limits = limits
         self.unknown = tuple(unknown)
+        self.workspaces = workspaces
+        self.warm_up_limits = warm_up_limits or {}
         self._by_host = {}
         for route in self.routes:
             self._by_host.setdefault(route.host, []).append(route)
--- a/goldcresthoist/tests/standins/platform_target.py
+++ b/goldcresthoist/tests/standins/platform_target.py
@@ -112,6 +112,8 @@
         self.probes = 0
         # (request id, monotonic time, target, body) of every execution.
         self.runs = []
+        # Header fields of every execution, by name in lower case.
+        self.received = []
         # Number of requests refused without execution, with status 503.
         self.rejected = 0
         # Monotonic time at which the daemon acknowledged the state "draining".
@@ -255,6 +257,7 @@
             return
         run = (request_id, time.monotonic(), self.url.decode(), self.body)
         target.runs.append(run)
+        target.received.append(self.headers)
         target.running += 1
         try:
             await asyncio.sleep(float(query.get("ms", 0)) / 1000)
