Count the calls of retried runs in the retry budget of the called service

Cause: when fee-counter refused half of its calls, requests of stall-board failed and were retried, and each retried run called fee-counter 1.4 times again. Change: a call tells its serving daemon that it is a retry, and a request received there takes the share of retries among the running calls from the budget of another service.

--- a/goldcresthoist/balance/shared_budget.py
+++ b/goldcresthoist/balance/shared_budget.py
@@ -2,9 +2,9 @@
 
 __all__ = ["SharedRetryBudget"]
 
-# Fractions of the shared limits that the daemons use. The rest is left for calls that a
-# retried call makes in turn: they count as retries at other services, and this daemon
-# does not see them.
+# Fractions of the shared limits that the daemons use. The rest is left for what
+# `SharedRetryBudget.record_request` cannot count, such as calls of runs that begin at
+# other daemons at the same time.
 USED_SHARE = 0.55
 USED_RESERVE = 0.7
 # Tokens that hedges leave for retries of failed requests, but at most this share of
@@ -52,9 +52,18 @@
         if self.tokens is not None:
             self.tokens = min(self.tokens, self.capacity)
 
-    def record_request(self):
-        """Add the tokens for one request of a caller."""
-        self.tokens = min(self.capacity, self.available() + self.share)
+    def record_request(self, retried_share=0.0):
+        """Add the tokens for one request of a caller or of the local upstream.
+
+        Calls that a retried run makes count as retries at the service that they go to.
+
+        Parameters
+        ----------
+        retried_share : float
+            Probability that the request is such a call.
+        """
+        tokens = self.available() + self.share - retried_share
+        self.tokens = max(-self.capacity, min(self.capacity, tokens))
 
     def available(self):
         """Return the number of tokens in the bucket."""
--- a/goldcresthoist/balance/tests/test_latency_chooser.py
+++ b/goldcresthoist/balance/tests/test_latency_chooser.py
@@ -138,6 +138,53 @@
         self.assertIsNone(self.choose(exclude=exclude))
 
 
+class NestedRetriesTest(unittest.TestCase):
+    """Load: a service and the one that it calls both fail most of their calls.
+
+    On scale-1 of haatbazar-bengal-grown, all upstreams of fee-counter refused half of
+    their calls. Requests of stall-board failed by that and were retried, and each retry
+    made 1.4 calls to fee-counter, which count as retries there.
+    """
+
+    WINDOW_S = 10
+    SHARE, RESERVE = 0.2, 170.0
+    CALLS_PER_RUN = 1.4
+
+    def count_retries(self, daemons, caller_per_s, own_per_s):
+        """Return the retries at the called service in a window, and those allowed."""
+        budgets = [SharedRetryBudget(self.SHARE, self.RESERVE) for _ in range(2)]
+        for budget in budgets:
+            budget.set_daemon_count(daemons)
+        caller, called = budgets
+        requests = [0, 0]
+        retries = 0.0
+        caller_in_s = caller_per_s / daemons
+        called_in_s = own_per_s / daemons + self.CALLS_PER_RUN * caller_in_s
+        # Retries that the caller service runs at the moment, as the running share.
+        running = [1.0, 0.0]
+        for step in range(self.WINDOW_S * 100):
+            share = running[1] / sum(running)
+            running = [item * 0.95 for item in running]
+            for index, per_s in enumerate((caller_in_s, called_in_s)):
+                while requests[index] < per_s * (step + 1) / 100:
+                    requests[index] += 1
+                    running[0] += 1 - index
+                    budgets[index].record_request(index * share)
+            while caller.try_take():
+                running[1] += 1
+                retries += self.CALLS_PER_RUN
+            while called.try_take():
+                retries += 1
+        allowed = self.SHARE * requests[1] * daemons + self.RESERVE
+        return retries * daemons, allowed
+
+    def test_calls_of_retried_runs_are_within_the_limit(self):
+        """Guards against more arrivals at the called service than the budget allows."""
+        for daemons in (8, 64):
+            retries, allowed = self.count_retries(daemons, 250, 70)
+            self.assertLessEqual(retries, allowed)
+
+
 class SharedRetryBudgetTest(unittest.TestCase):
     def test_all_daemons_together_stay_within_the_limit(self):
         """Guards against a retry storm from many daemons with few retries each.
--- a/goldcresthoist/links/frames.py
+++ b/goldcresthoist/links/frames.py
@@ -139,6 +139,8 @@
         even when its caller disconnects.
     workspace : str
         Name of the workspace of the request; empty when it has none.
+    retried : bool
+        Whether another upstream may have got the request before, or gets it as well.
     """
 
     call_id: int
@@ -159,6 +161,7 @@
     alternatives: int = 0
     repeatable: bool = False
     workspace: str = ""
+    retried: bool = False
 
 
 class Body(msgspec.Struct, frozen=True, array_like=True, tag=5):
--- a/goldcresthoist/node/request.py
+++ b/goldcresthoist/node/request.py
@@ -230,7 +230,9 @@
             When the deadline passes while the response is relayed.
         """
         await self._read_prefix()
-        self.service.budget.record_request()
+        self.service.budget.record_request(
+            self.entry.server.retried_share(self.service.name)
+        )
         self.crash_count = self.entry.server.suspects.count(
             self.fingerprint, monotonic()
         )
@@ -294,6 +296,7 @@
             self._count_alternatives(now),
             route.repeatable,
             "" if self.workspace is None else self.workspace.name,
+            hedge or self.upstream_attempts > 0,
         )
 
     def on_deadline(self):
--- a/goldcresthoist/node/serving.py
+++ b/goldcresthoist/node/serving.py
@@ -179,6 +179,16 @@
         self.failures = share + FAILURE_WEIGHT * (float(failed) - share)
         self.failures_updated_at = now
 
+    def retried_share(self, service):
+        """Return the share of the running calls that are retries.
+
+        It is 0 for the own service, as upstreams call other services.
+        """
+        if service == self.own.service or not self.running:
+            return 0.0
+        retried = sum(1 for run in self.running if run.call.open.retried)
+        return retried / len(self.running)
+
     def load_for_pong(self):
         """Return the load to send with a pong."""
         return self.load_report()
