Decide on hedges under an operator's limit, on spare slots only

Cause: a hedge was sent after a fixed share of the route's aim, limited by the retry budget alone, and could wait in the queue of a serving daemon and evict first copies there. A call marked by the last field of Open starts at once on a slot that no other call needs, or is refused; unmarked hedges are treated as before. Nothing uses this yet.

--- a/goldcresthoist/balance/__init__.py
+++ b/goldcresthoist/balance/__init__.py
@@ -19,10 +19,17 @@
     AdmissionRefused,
     BalanceError,
     Draining,
+    InvalidHedgeShare,
     Saturated,
     UnknownPolicy,
 )
 from goldcresthoist.balance.health import UpstreamHealth
+from goldcresthoist.balance.hedge_limit import (
+    HedgeDecision,
+    HedgeLimit,
+    HedgeSettings,
+    aim_delay_s,
+)
 from goldcresthoist.balance.hedging import HedgeTimer
 from goldcresthoist.balance.latency_chooser import LatencyChooser
 from goldcresthoist.balance.pace import PaceEstimator
@@ -43,7 +50,11 @@
     "CrashSuspects",
     "Default",
     "Draining",
+    "HedgeDecision",
+    "HedgeLimit",
+    "HedgeSettings",
     "HedgeTimer",
+    "InvalidHedgeShare",
     "LatencyChooser",
     "Naive",
     "Outcome",
@@ -63,5 +74,6 @@
     "UpstreamPool",
     "UpstreamSubset",
     "UpstreamView",
+    "aim_delay_s",
     "get_policy",
 ]
--- a/goldcresthoist/balance/errors.py
+++ b/goldcresthoist/balance/errors.py
@@ -4,6 +4,7 @@
     "AdmissionRefused",
     "BalanceError",
     "Draining",
+    "InvalidHedgeShare",
     "Saturated",
     "UnknownPolicy",
 ]
@@ -17,6 +18,10 @@
     """No policy has the given name."""
 
 
+class InvalidHedgeShare(BalanceError):
+    """The operator's limit on hedges is not valid."""
+
+
 class AdmissionRefused(BalanceError):
     """The call was not started and holds no slot."""
 
--- a/goldcresthoist/balance/hedging.py
+++ b/goldcresthoist/balance/hedging.py
@@ -65,6 +65,12 @@
             latencies = self.by_work[rule.name] = _LatencyHistogram()
         latencies.record(latency_s)
 
+    def keep(self, names):
+        """Discard the latencies of all work rules but those of these names."""
+        self.by_work = {
+            name: latencies for name, latencies in self.by_work.items() if name in names
+        }
+
     def delay_s(self, rule):
         """Return the delay in seconds after which a call of this work may be hedged."""
         latencies = self.by_work.get(rule.name)
--- a/goldcresthoist/balance/slots.py
+++ b/goldcresthoist/balance/slots.py
@@ -300,6 +300,36 @@
                 raise Saturated(max(MIN_RETRY_AFTER_S, wait_s))
         return self._enqueue(call, now)
 
+    def admit_to_spare_slot(self, call, now):
+        """Assign a slot to a call that must take none from other calls.
+
+        The call starts at once on a free slot that no waiting call needs, or it is
+        refused. It is not queued and evicts nothing. A last part of the slots is left
+        free, since an upstream may slow down above `NEARLY_FULL_SHARE` and the next
+        calls need slots.
+
+        Raises
+        ------
+        Draining, Saturated
+            The call was refused. It holds no slot.
+        """
+        if self.draining:
+            raise Draining
+        usual_s = self.usual_s(call, now)
+        limit = min(
+            self.limit_for(self.is_short(call.work)),
+            max(1, int(NEARLY_FULL_SHARE * self.slots)),
+        )
+        if (
+            self.running + len(self.waiting) >= limit
+            or self._is_paused(now)
+            or self._is_slow_phase(now)
+            or self._too_slow_for(call, usual_s, now)
+            or now + MIN_SERVICE_SHARE * usual_s * self.pace.base > call.deadline
+        ):
+            raise Saturated(MIN_RETRY_AFTER_S)
+        self._take_slot(now)
+
     def release(self, now):
         """Release a slot and start the calls that wait for one."""
         self.running -= 1
--- a/goldcresthoist/links/frames.py
+++ b/goldcresthoist/links/frames.py
@@ -139,6 +139,8 @@
         even when its caller disconnects.
     workspace : str
         Name of the workspace of the request; empty when it has none.
+    spare_slot_only : bool
+        Whether the call may start only at once, on a slot that no other call needs.
     """
 
     call_id: int
@@ -159,6 +161,7 @@
     alternatives: int = 0
     repeatable: bool = False
     workspace: str = ""
+    spare_slot_only: bool = False
 
 
 class Body(msgspec.Struct, frozen=True, array_like=True, tag=5):
--- a/goldcresthoist/links/tests/test_frames.py
+++ b/goldcresthoist/links/tests/test_frames.py
@@ -2,6 +2,7 @@
 
 import unittest
 
+import msgspec
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
@@ -26,6 +27,21 @@
 ]
 
 
+class OpenTest(unittest.TestCase):
+    def test_call_of_an_earlier_release_may_wait_for_a_slot(self):
+        """Guards against hedges of earlier deployments that are treated differently.
+
+        Their messages end before the last field.
+        """
+        message = make_open(7, b"body")
+        fields = msgspec.structs.astuple(message)[:-1]
+        payload = msgspec.msgpack.encode((4, *fields))
+        frame = len(payload).to_bytes(4, "big") + payload
+        (received,) = FrameDecoder().feed(frame)
+        self.assertEqual(received, message)
+        self.assertFalse(received.spare_slot_only)
+
+
 class FrameDecoderTest(unittest.TestCase):
     """Guards against decoding that depends on how TCP splits the stream."""
 
--- a/goldcresthoist/node/serving.py
+++ b/goldcresthoist/node/serving.py
@@ -291,7 +291,11 @@
             message.workspace,
         )
         try:
-            future = self.queue.admit(slot_call, now)
+            if message.spare_slot_only:
+                self.queue.admit_to_spare_slot(slot_call, now)
+                future = None
+            else:
+                future = self.queue.admit(slot_call, now)
         except AdmissionRefused as exc:
             self._refuse_admission(call, exc)
             return
@@ -382,6 +386,8 @@
         match error:
             case Draining():
                 self._refuse(call, "draining", 0.0)
+            case _ if call.open.spare_slot_only:
+                self._refuse(call, "no-spare-slot", 0.0)
             case _:
                 self._refuse(call, "saturated", error.retry_after_s)
 
--- a/goldcresthoist/node/tests/test_serving.py
+++ b/goldcresthoist/node/tests/test_serving.py
@@ -26,7 +26,7 @@
 class FakeCall:
     """Has the interface of `IncomingCall` and records the code of a refusal."""
 
-    def __init__(self, service, crash_count):
+    def __init__(self, service, crash_count, **fields):
         self.open = Open(
             call_id=1,
             service=service,
@@ -41,6 +41,7 @@
             body=b"",
             end=True,
             soft_deadline_us=500_000,
+            **fields,
         )
         self.refused = None
         self.cancelled = False
@@ -73,8 +74,8 @@
     async def asyncTearDown(self):
         await self.server.close()
 
-    def begin(self, service="ledger", crash_count=0):
-        call = FakeCall(service, crash_count)
+    def begin(self, service="ledger", crash_count=0, **fields):
+        call = FakeCall(service, crash_count, **fields)
         self.server.begin(call)
         return call
 
@@ -89,6 +90,20 @@
             self.server.queue.pace.record(reported, monotonic())
             self.assertEqual(self.server.load_report().pace, expected)
 
+    async def test_only_marked_hedges_are_never_queued(self):
+        """Guards against hedges that wait, and against refusals of those that may.
+
+        A daemon without the operator's limit on hedges does not mark them.
+        """
+        self.server.queue.slots = 2
+        self.begin()
+        self.begin()
+        self.assertEqual(
+            self.begin(hedge=True, spare_slot_only=True).refused, "no-spare-slot"
+        )
+        self.assertIsNone(self.begin(hedge=True).refused)
+        self.assertEqual(len(self.server.queue.waiting), 1)
+
     async def test_call_that_arrived_in_a_pause_keeps_its_deadline(self):
         """Guards against a frozen daemon that runs a call after its time was over.
 
