Limit hedges by GOLDCRESTHOIST_HEDGE_SHARE

Cause: operators could not limit the work that hedges add. Change: the share is read and checked at the start of the daemon. If it is set, HedgeLimit replaces the delay rule by the aim, and hedges ask for spare slots.

--- a/goldcresthoist/node/assembly.py
+++ b/goldcresthoist/node/assembly.py
@@ -7,7 +7,7 @@
 import msgspec
 
 from goldcresthoist.addresses import split_address
-from goldcresthoist.balance import CrashSuspects
+from goldcresthoist.balance import CrashSuspects, HedgeLimit, HedgeSettings
 from goldcresthoist.callers import CallerServer, ConnectionLimits
 from goldcresthoist.clock import monotonic
 from goldcresthoist.fleet import (
@@ -23,6 +23,7 @@
 from goldcresthoist.node.call_execution import make_connection
 from goldcresthoist.node.discovery import UpstreamDiscovery
 from goldcresthoist.node.entry import EntryServer
+from goldcresthoist.node.hedging import Hedging
 from goldcresthoist.node.local_upstream import LocalUpstream
 from goldcresthoist.node.services import FleetServices
 from goldcresthoist.node.serving import STORED_CRASHES, UpstreamServer
@@ -61,6 +62,8 @@
     Parameters
     ----------
     settings : NodeSettings
+    hedge_settings : HedgeSettings
+        Limit of the operator on hedges; by default there is none.
 
     Attributes
     ----------
@@ -82,8 +85,9 @@
         Handles the requests received here.
     """
 
-    def __init__(self, settings):
+    def __init__(self, settings, hedge_settings=HedgeSettings()):
         self.settings = settings
+        self.hedge_settings = hedge_settings
         self.counters = Counters(PlainExposition())
         self.log = DecisionLog(settings.instance)
         self.pauses = PauseDetector()
@@ -153,10 +157,14 @@
             settings.link_port,
             asyncio.get_running_loop().call_soon,
         )
+        self.hedging = Hedging(
+            HedgeLimit.from_settings(self.hedge_settings), self.counters
+        )
         self.entry = EntryServer(
             self.services,
             self.watch,
             self.server,
+            self.hedging,
             settings.service,
             self.counters,
             self.log,
@@ -207,6 +215,7 @@
         self.counters.gauge("in_flight", lambda: self.server.queue.running)
         self.counters.gauge("queued", lambda: len(self.server.queue.waiting))
         self.counters.gauge("upstream_limit_per_s", self._upstream_limit)
+        self.counters.gauge("hedge_share", lambda: self.hedge_settings.share)
         self.counters.gauge("transfer_bytes", lambda: self.transfers.used)
         self.counters.gauge("configuration_version", lambda: self.watch.version)
         self.counters.gauge(
@@ -310,6 +319,7 @@
             )
         )
         self.services.discard_removed_routes(table)
+        self.hedging.keep_routes({route.name for route in table.routes})
         if self.own.usable() and not self.server.queue.pace.known:
             # The local upstream may have announced itself before the configuration with
             # its health path arrived, so that no probe could be sent then.
--- a/goldcresthoist/node/entry.py
+++ b/goldcresthoist/node/entry.py
@@ -32,6 +32,8 @@
         Provides the current `RoutingTable`.
     server : UpstreamServer
         Takes the calls that are sent to the local upstream.
+    hedging : Hedging
+        Sends the hedges of the requests.
     caller_service : str
         Service on this instance. It is sent to upstreams as the service of the caller.
     counters, log, transfers
@@ -46,11 +48,20 @@
     """
 
     def __init__(
-        self, services, watch, server, caller_service, counters, log, transfers
+        self,
+        services,
+        watch,
+        server,
+        hedging,
+        caller_service,
+        counters,
+        log,
+        transfers,
     ):
         self.services = services
         self.watch = watch
         self.server = server
+        self.hedging = hedging
         self.caller_service = caller_service.encode()
         self.counters = counters
         self.log = log
--- a/goldcresthoist/node/lifecycle.py
+++ b/goldcresthoist/node/lifecycle.py
@@ -1,11 +1,13 @@
 """Start, graceful shutdown and settings reload of the daemon process."""
 
 import asyncio
+import os
 import signal
 import sys
 from functools import partial
 from pathlib import Path
 
+from goldcresthoist.balance import HedgeSettings, InvalidHedgeShare
 from goldcresthoist.clock import monotonic
 from goldcresthoist.node.assembly import Node
 from goldcresthoist.node.stopping import StopDeadlines
@@ -44,20 +46,21 @@
     """
     try:
         settings = NodeSettings.from_environment()
-    except InvalidNodeSettings as exc:
+        hedge_settings = HedgeSettings.from_environment(os.environ)
+    except (InvalidNodeSettings, InvalidHedgeShare) as exc:
         print(exc, file=sys.stderr)
         return INVALID_SETTINGS
     import uvloop
 
     try:
-        uvloop.run(serve(settings))
+        uvloop.run(serve(settings, hedge_settings))
     except OSError as exc:
         print(f"the daemon cannot start: {exc}", file=sys.stderr)
         return FAILURE
     return SUCCESS
 
 
-async def serve(settings):
+async def serve(settings, hedge_settings):
     """Serve until SIGTERM or SIGINT, then drain.
 
     Raises
@@ -71,11 +74,13 @@
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stop.set)
     loop.add_signal_handler(signal.SIGHUP, reload.set)
-    node = Node(settings)
+    node = Node(settings, hedge_settings)
     tasks = []
     try:
         await node.listen()
         node.log.event("started", service=settings.service, ip=settings.ip)
+        if hedge_settings.share > 0.0:
+            node.log.event("hedges limited", share=hedge_settings.share)
         parts = {
             "pauses": node.pauses.run,
             "registration": node.registration.run,
--- a/goldcresthoist/node/request.py
+++ b/goldcresthoist/node/request.py
@@ -1,6 +1,4 @@
-"""Retries, hedging and the final response to one caller's request."""
-
-import asyncio
+"""Offers, retries and the final response to one caller's request."""
 
 from goldcresthoist.balance import Outcome
 from goldcresthoist.callers import CallerGone
@@ -12,6 +10,8 @@
 from goldcresthoist.http_fields import header_value, requested_host
 from goldcresthoist.links import LinkClosed
 from goldcresthoist.links.frames import Failed, FailureKind, Head, Open, Refuse
+from goldcresthoist.node.hedging import MIN_TIME_LEFT_SHARE, RouteAdapter
+from goldcresthoist.node.outcomes import is_final, outcome_code
 from goldcresthoist.node.serving import MAX_CRASHES
 from goldcresthoist.node.transfers import CALL_BYTES
 from goldcresthoist.platform.fields import upstream_headers
@@ -28,13 +28,6 @@
 MAX_OFFERS = 5
 # Number of offers that are left to a retry at least.
 RETRY_OFFERS = 3
-# Delay before a hedge is sent: this share of the route's ``aim_s``, but at least
-# `HEDGE_DELAY_RATIO` times the usual time of the work.
-HEDGE_DELAY_SHARE = 0.45
-HEDGE_DELAY_RATIO = 1.3
-# No retry or hedge is sent when less than this share of the usual time of the work is
-# left until the deadline, because its response would come too late.
-MIN_TIME_LEFT_SHARE = 0.7
 # Bounds of the Retry-After of refusals.
 MIN_RETRY_AFTER_S = 0.08
 MAX_RETRY_AFTER_S = 1.0
@@ -44,9 +37,6 @@
 LATE_RETRY_AFTER_SHARE = 0.33
 # A request is not retried once this many upstreams have crashed while it was running.
 MAX_RETRIED_CRASHES = 2
-# A response with one of these statuses counts as a failure of the upstream, so that
-# another upstream may be tried.
-FAILED_STATUSES = frozenset((500, 502, 503, 504))
 
 
 class EntryRequest:
@@ -57,7 +47,7 @@
     the route's ``max_attempts`` nor against the retry budget.
 
     The outcome of an offer is a `Head`, `Refuse` or `Failed` message. It is final when
-    it is the `Head` of a response whose status is not in `FAILED_STATUSES`.
+    `is_final` says so.
 
     Parameters
     ----------
@@ -191,7 +181,7 @@
         selected = self.state.service_selector.next()
         self.service = entry.services.service(selected.service)
         # `Attempt` and `relay_response` read their attributes from this adapter.
-        self.route = _RouteAdapter(self.state, selected.service)
+        self.route = RouteAdapter(self.state, selected.service)
         self.target = request.target
         self.host = requested_host(request.headers)
         self.workspace = workspace
@@ -231,6 +221,7 @@
         """
         await self._read_prefix()
         self.service.budget.record_request()
+        self.entry.hedging.record_request(self)
         self.crash_count = self.entry.server.suspects.count(
             self.fingerprint, monotonic()
         )
@@ -238,11 +229,11 @@
             self._refuse_suspect()
             return
         outcome = None
-        attempt = self._offer()
+        attempt = self.offer()
         try:
             while attempt is not None:
-                attempt, outcome = await self._await_outcome(attempt)
-                if _is_final(outcome):
+                attempt, outcome = await self.entry.hedging.await_outcome(self, attempt)
+                if is_final(outcome):
                     break
                 following = await self._start_retry(attempt, outcome)
                 if following is None:
@@ -291,9 +282,10 @@
             hedge,
             self.priority,
             max(0, int((self.soft_deadline - now) * 1e6)),
-            self._count_alternatives(now),
+            self.count_alternatives(now),
             route.repeatable,
             "" if self.workspace is None else self.workspace.name,
+            self.entry.hedging.needs_spare_slot(hedge),
         )
 
     def on_deadline(self):
@@ -379,12 +371,12 @@
             self.fingerprint, self.arrived
         )
 
-    def _count_alternatives(self, now):
+    def count_alternatives(self, now):
         if self.is_last_offer or self.offers >= MAX_OFFERS:
             return 0
         return self.entry.services.count_alternatives(self.service, now, self.exclude)
 
-    def _offer(self, hedge=False):
+    def offer(self, hedge=False):
         """Offer the request to the best remaining upstream.
 
         Parameters
@@ -441,12 +433,12 @@
         gets one last offer that states no alternatives, and accepts it if the upstream
         has any capacity.
         """
-        attempt = self._offer()
+        attempt = self.offer()
         if attempt is None and self.offers > 1 and not self.is_last_offer:
             self.is_last_offer = True
             self.exclude.clear()
             self.offers = min(self.offers, MAX_OFFERS - 1)
-            attempt = self._offer()
+            attempt = self.offer()
         return attempt
 
     def _offer_record(self, view, now, hedge):
@@ -461,76 +453,6 @@
             "pace_age_ms": int((now - view.pace_time) * 1000),
         }
 
-    async def _await_outcome(self, attempt):
-        """Wait for an outcome, sending a hedge after a delay if that is allowed.
-
-        Returns
-        -------
-        (Attempt, Head or Refuse or Failed)
-            The attempt that determines the next step, and its outcome.
-        """
-        late = self.soft_deadline <= monotonic()
-        if late or not self.state.route.repeatable or not self.body_complete:
-            return attempt, await attempt.outcome()
-        delay_s = max(
-            HEDGE_DELAY_SHARE * self.state.route.aim_s,
-            HEDGE_DELAY_RATIO * self.rule.usual_s,
-        )
-        outcome = await attempt.outcome(delay_s)
-        if outcome is not None:
-            return attempt, outcome
-        hedge = self._start_hedge()
-        if hedge is None:
-            return attempt, await attempt.outcome()
-        return await self._race(attempt, hedge)
-
-    def _start_hedge(self):
-        """Return the `Attempt` of a hedge, or None when none can be sent."""
-        now = monotonic()
-        route = self.state.route
-        left_s = self.deadline - now
-        if left_s < MIN_TIME_LEFT_SHARE * self.rule.usual_s:
-            return None
-        if (
-            self.upstream_attempts + 2 > route.max_attempts
-            or not self._count_alternatives(now)
-        ):
-            return None
-        if not self.service.budget.try_take_for_hedge():
-            self.entry.counters.add("retries_denied")
-            return None
-        hedge = self._offer(hedge=True)
-        if hedge is None:
-            self.service.budget.refund()
-        else:
-            self.entry.counters.add("hedges", service=self.service.name)
-        return hedge
-
-    async def _race(self, *attempts):
-        """Return the first attempt with a final outcome; cancel the other ones.
-
-        Returns
-        -------
-        (Attempt, Head or Refuse or Failed)
-            When no attempt has a final outcome, the one that ended last, and its
-            outcome.
-        """
-        tasks = {self.loop.create_task(item.outcome()): item for item in attempts}
-        try:
-            while True:
-                done, _ = await asyncio.wait(tasks, return_when=asyncio.FIRST_COMPLETED)
-                for task in done:
-                    attempt, outcome = tasks.pop(task), task.result()
-                    if _is_final(outcome) or not tasks:
-                        for other in self.attempts:
-                            if other is not attempt:
-                                other.cancel_pending()
-                        return attempt, outcome
-                    self._record_unsuccessful(attempt, outcome)
-        finally:
-            for task in tasks:
-                task.cancel()
-
     async def _start_retry(self, attempt, outcome):
         """Return a further attempt after one whose outcome is not final.
 
@@ -539,7 +461,7 @@
         Attempt or None
             None when a limit of the request forbids a retry or no upstream is left.
         """
-        self._record_unsuccessful(attempt, outcome)
+        self.record_unsuccessful(attempt, outcome)
         now = monotonic()
         left_s = self.deadline - now
         route = self.state.route
@@ -557,17 +479,17 @@
             return None
         if now + self.rule.usual_s <= self.soft_deadline:
             self._renew_offers()
-        if not self._count_alternatives(now):
+        if not self.count_alternatives(now):
             return None
         if not self.service.budget.try_take():
             self.entry.counters.add("retries_denied")
-            self.decisions.append({"retry": "denied", "reason": _outcome_code(outcome)})
+            self.decisions.append({"retry": "denied", "reason": outcome_code(outcome)})
             return None
-        retry = self._offer()
+        retry = self.offer()
         if retry is None:
             self.service.budget.refund()
         else:
-            self.entry.counters.add("retries", reason=_outcome_code(outcome))
+            self.entry.counters.add("retries", reason=outcome_code(outcome))
         return retry
 
     def _renew_offers(self):
@@ -580,7 +502,7 @@
         self.offers = min(self.offers, MAX_OFFERS - RETRY_OFFERS)
         self.is_last_offer = False
 
-    def _record_unsuccessful(self, attempt, outcome):
+    def record_unsuccessful(self, attempt, outcome):
         """Record an outcome that is not final, and end its attempt."""
         self.unanswered.discard(attempt)
         if self.reserved_bytes:
@@ -589,7 +511,7 @@
         self.decisions.append(
             {
                 "from": attempt.view.instance,
-                "got": _outcome_code(outcome),
+                "got": outcome_code(outcome),
                 "ms": round((monotonic() - self.arrived) * 1000, 1),
             }
         )
@@ -600,8 +522,7 @@
                 if outcome.code == "upstream-refused":
                     self.failed_views.append(attempt.view)
                     self.upstream_attempts += 1
-                elif attempt.hedge:
-                    self.service.budget.refund()
+                self.entry.hedging.record_refusal(self, attempt, outcome)
                 self.retry_after_s = max(
                     self.retry_after_s, outcome.retry_after_ms / 1000.0
                 )
@@ -621,7 +542,7 @@
         request_id = self.fields.request_id
         match outcome:
             case Head():
-                self.outcome = "answered" if _is_final(outcome) else "upstream-error"
+                self.outcome = "answered" if is_final(outcome) else "upstream-error"
                 length = header_value(outcome.headers, b"content-length")
                 if length is not None and outcome.status == 200:
                     self.state.record_response_size(int(length))
@@ -681,33 +602,3 @@
         if now + self.rule.usual_s > self.soft_deadline:
             min_s = max(min_s, LATE_RETRY_AFTER_SHARE * (self.deadline - now))
         return min(MAX_RETRY_AFTER_S, max(min_s, self.retry_after_s))
-
-
-class _RouteAdapter:
-    """Adapts a `RouteState` to the attributes `Attempt` and `relay_response` use."""
-
-    __slots__ = ("hedges", "name")
-
-    def __init__(self, state, service):
-        self.hedges = state
-        self.name = service
-
-
-def _is_final(outcome):
-    """Return whether the outcome is a response that rules out a retry."""
-    return type(outcome) is Head and outcome.status not in FAILED_STATUSES
-
-
-def _outcome_code(outcome):
-    """Return the code of an unsuccessful outcome for the log and the metrics.
-
-    A leading "!" marks outcomes after which the request may have been executed.
-    """
-    match outcome:
-        case Refuse(code=code):
-            return code
-        case Failed(kind=kind):
-            return "!" + kind
-        case Head(status=status):
-            return f"!status-{status}"
-    return "none"
--- a/goldcresthoist/node/tests/loopback_cluster.py
+++ b/goldcresthoist/node/tests/loopback_cluster.py
@@ -7,6 +7,7 @@
 import random
 from time import monotonic
 
+from goldcresthoist.balance import HedgeSettings
 from goldcresthoist.node.assembly import Node
 from goldcresthoist.platform import NodeSettings
 from goldcresthoist.tests.standins.platform_store import PlatformStore
@@ -101,6 +102,8 @@
     ----------
     services : list of str
         Service of each upstream; each gets an instance and a serving daemon of its own.
+    hedge_settings : HedgeSettings
+        Limit of the operator on hedges, for all daemons.
 
     Attributes
     ----------
@@ -112,10 +115,11 @@
         `PlatformTarget` that stands in for the upstream, by address.
     """
 
-    def __init__(self, services):
+    def __init__(self, services, hedge_settings=HedgeSettings()):
         network = f"127.{_SECOND_OCTET}.{next(_third_octets) % 250}"
         self.ips = [f"{network}.{number + 10}" for number in range(len(services))]
         self.services = services
+        self.hedge_settings = hedge_settings
         self.store = PlatformStore()
         self.store_host = f"{network}.2"
         self.nodes = {}
@@ -152,7 +156,7 @@
     async def start_node(self, ip, service):
         """Start a daemon and return its `Node`."""
         text = settings_text(ip, service, f"{self.store_host}:{STORE_PORT}")
-        node = self.nodes[ip] = Node(NodeSettings.from_text(text))
+        node = self.nodes[ip] = Node(NodeSettings.from_text(text), self.hedge_settings)
         node.log.descriptor = -1
         await node.listen()
         node.background = [
--- a/goldcresthoist/node/tests/test_lifecycle.py
+++ b/goldcresthoist/node/tests/test_lifecycle.py
@@ -1,6 +1,7 @@
 """Tests of the start of the daemon."""
 
 import asyncio
+import io
 import os
 import signal
 import tempfile
@@ -8,12 +9,14 @@
 from types import SimpleNamespace
 from unittest import mock
 
+from goldcresthoist.balance.hedge_limit import SHARE_VARIABLE
 from goldcresthoist.fleet.tests.builders import FakeLog
 from goldcresthoist.node import main
 from goldcresthoist.node.lifecycle import (
     MEMBERS_TIMEOUT_S,
     _start_configuration_watch,
     _watch_settings,
+    run,
 )
 from goldcresthoist.node.tests.loopback_cluster import settings_text
 from goldcresthoist.platform import NodeSettings
@@ -80,6 +83,23 @@
             self.assertEqual(main(), 0)
         self.assertEqual(seen, [signal.SIG_IGN])
 
+    def test_invalid_hedge_share_ends_the_start(self):
+        """Guards against a daemon that runs with another limit than the one set."""
+        text = settings_text("127.0.0.1", "ledger", "127.0.0.1:9")
+        with tempfile.NamedTemporaryFile("w", suffix=".toml") as file:
+            file.write(text)
+            file.flush()
+            variables = {SETTINGS_VARIABLE: file.name, SHARE_VARIABLE: "0.7"}
+            with (
+                mock.patch.dict(os.environ, variables),
+                mock.patch("sys.stderr", io.StringIO()) as errors,
+            ):
+                self.assertEqual(run(), 2)
+        self.assertEqual(
+            errors.getvalue(),
+            "GOLDCRESTHOIST_HEDGE_SHARE is '0.7', expected a number from 0 to 0.5\n",
+        )
+
     async def test_settings_that_change_during_the_start(self):
         """Guards against a change of the settings that no signal announces again."""
         text = settings_text("127.0.0.1", "ledger", "127.0.0.1:9")
--- a/goldcresthoist/node/tests/test_request.py
+++ b/goldcresthoist/node/tests/test_request.py
@@ -4,9 +4,10 @@
 from time import monotonic
 from types import SimpleNamespace
 
-from goldcresthoist.balance import SharedRetryBudget
+from goldcresthoist.balance import HedgeLimit, SharedRetryBudget
 from goldcresthoist.fleet.tests.builders import FakeCounters
-from goldcresthoist.links.frames import Failed, FailureKind
+from goldcresthoist.links.frames import Failed, FailureKind, Refuse
+from goldcresthoist.node.hedging import Hedging
 from goldcresthoist.node.request import MAX_OFFERS, EntryRequest
 
 
@@ -69,9 +70,16 @@
     request.crash_count = request.reserved_bytes = 0
     request.upstream_attempts = request.offers = 0
     request.is_last_offer = False
+    request.retry_after_s = 0.0
     return request
 
 
+def make_hedging(request, limit=None):
+    """Give the request a `Hedging` with this `HedgeLimit`, and return it."""
+    request.entry.hedging = Hedging(limit, request.entry.counters)
+    return request.entry.hedging
+
+
 class HedgeTest(unittest.TestCase):
     def test_unsent_hedge_uses_no_budget(self):
         """Guards against a retry budget that is used up by hedges that were not sent.
@@ -81,10 +89,51 @@
         request = make_request()
         budget = request.service.budget
         before = budget.available()
-        self.assertIsNone(request._start_hedge())
+        self.assertIsNone(make_hedging(request).start_hedge(request))
         self.assertEqual(budget.available(), before)
         self.assertEqual(request.entry.counters.total("hedges"), 0)
 
+    def test_unsent_hedge_uses_nothing_of_the_limit(self):
+        """Guards against a limit that is used up by hedges that were not sent.
+
+        Neither an upstream that cannot be reached nor a used-up retry budget may take
+        from it.
+        """
+        request = make_request()
+        limit = HedgeLimit(0.5)
+        limit.tokens = 1.0
+        hedging = make_hedging(request, limit)
+        self.assertIsNone(hedging.start_hedge(request))
+        self.assertEqual(limit.tokens, 1.0)
+        while request.service.budget.try_take():
+            pass
+        self.assertIsNone(hedging.start_hedge(request))
+        self.assertEqual(limit.tokens, 1.0)
+        self.assertEqual(request.decisions[-1]["reason"], "retry-budget")
+
+    def test_refused_hedge_uses_no_budget(self):
+        """Guards against refusals without a run that use up retries and hedges.
+
+        They also say nothing about the capacity for first copies.
+        """
+        request = make_request()
+        limit = HedgeLimit(0.5)
+        hedging = make_hedging(request, limit)
+        budget = request.service.budget
+        budget.try_take()
+        before = budget.available()
+        attempt = FakeAttempt()
+        attempt.hedge = True
+        refusal = Refuse(1, "no-spare-slot", "", 0, None)
+        request.record_unsuccessful(attempt, refusal)
+        self.assertEqual(limit.tokens, 1.0)
+        self.assertEqual(budget.available(), before + 1.0)
+        self.assertFalse(limit.is_overloaded("listen", monotonic()))
+        request.record_unsuccessful(FakeAttempt(), Refuse(1, "saturated", "", 0, None))
+        self.assertTrue(limit.is_overloaded("listen", monotonic()))
+        self.assertIsNone(hedging.start_hedge(request))
+        self.assertEqual(request.decisions[-1]["reason"], "overloaded")
+
 
 class RetryTest(unittest.IsolatedAsyncioTestCase):
     async def test_refusals_do_not_take_the_place_of_a_retry(self):
