--- a/goldcresthoist/config/differences.py
+++ b/goldcresthoist/config/differences.py
@@ -2,7 +2,7 @@
 
 import msgspec
 
-__all__ = ["differences"]
+__all__ = ["differences", "item_differences"]
 
 
 def differences(old, new):
@@ -19,7 +19,21 @@
     tuple of str
     """
     old_items = _values_by_item(old) if old is not None else {}
-    new_items = _values_by_item(new)
+    return item_differences(old_items, _values_by_item(new))
+
+
+def item_differences(old_items, new_items):
+    """Return one line of text for each difference between labelled items.
+
+    Parameters
+    ----------
+    old_items, new_items : dict of str to dict
+        Values of each item by name, by the label of the item.
+
+    Returns
+    -------
+    tuple of str
+    """
     lines = [f"{name}: removed" for name in old_items if name not in new_items]
     for name, values in new_items.items():
         if name in old_items:
