Report findings and changes in config check

Cause: config check listed only unknown kinds and fields of the operator's configuration, always with status 0. Change: it reports all findings (status 1) and errors (status 2), and with --in-force what changes. The earlier test expected status 0 for an unknown kind and a service that is not defined; it is replaced by one that requires status 1 with the place, and status 2 with all errors.

--- a/goldcresthoist/cli/_commands.py
+++ b/goldcresthoist/cli/_commands.py
@@ -21,22 +21,25 @@
     """
 
     @SetParseFn(str)
-    def check(self, file, *, settings=None, address=None):
-        """Check a questionnaire without changing anything.
+    def check(self, file, *, settings=None, address=None, in_force=None):
+        """Check a configuration without changing anything.
 
         Usage: goldcresthoist config check FILE [--settings FILE] [--address IP:PORT]
+               goldcresthoist config check FILE.json [--in-force FILE]
 
-        With --settings or --address, it also shows the differences to the current
-        configuration of the team, as reported by a daemon. For a configuration of the
-        users' platform, it lists the kinds and fields that this release does not know.
+        For a questionnaire, --settings or --address also shows the differences to the
+        current configuration of the team, as reported by a daemon. For a configuration
+        of the users' platform, it names the place of each finding; with --in-force, it
+        also shows the differences. Exit status: 0, 1 for findings, 2 if not valid.
 
         Arguments:
           FILE                questionnaire of a team, YAML; or a configuration of the
                               users' platform, with a name that ends with .json
+          --in-force FILE     configuration of the users' platform that is in force
           --settings FILE     settings of a daemon; default $GOLDCRESTHOIST_SETTINGS
           --address IP:PORT   operator address of the daemon
         """
-        return Invocation(_configuration.check, file, settings, address)
+        return Invocation(_configuration.check, file, settings, address, in_force)
 
     @SetParseFn(str)
     def apply(self, file, *, settings=None, address=None, author=None, base=None):
--- a/goldcresthoist/cli/_configuration.py
+++ b/goldcresthoist/cli/_configuration.py
@@ -13,7 +13,7 @@
     OperatorClient,
     RemoteError,
 )
-from goldcresthoist.cli.errors import CommandFailed, UsageError
+from goldcresthoist.cli.errors import CommandFailed, InvalidConfiguration, UsageError
 from goldcresthoist.config import InvalidAnswer, Questionnaire, generate
 from goldcresthoist.config._yaml_documents import load_yaml
 from goldcresthoist.operators import (
@@ -23,6 +23,10 @@
     HistoryEntry,
 )
 from goldcresthoist.platform import PlatformFormatError, decode_configuration
+from goldcresthoist.platform.configuration_check import (
+    check_document,
+    compare_documents,
+)
 
 PLATFORM_SUFFIX = ".json"
 
@@ -42,14 +46,16 @@
     entries: tuple[HistoryEntry, ...]
 
 
-def check(file, settings, address):
+def check(file, settings, address, in_force=None):
     """Validate a questionnaire locally and, if a daemon is given, against the fleet.
 
     A file that ends with ``.json`` is a configuration of the users' platform, which is
-    only checked locally.
+    checked locally, and against the version in force if the name of its file is given.
     """
     if file.endswith(PLATFORM_SUFFIX):
-        return _check_platform_configuration(file)
+        return _check_platform_configuration(file, in_force)
+    if in_force is not None:
+        raise UsageError("--in-force is only for a FILE that ends with .json")
     document = _load_questionnaire(file)
     content = generate(Questionnaire.from_document(document, file))
     work = sum(len(service.work) for service in content.services)
@@ -63,19 +69,36 @@
     return 0
 
 
-def _check_platform_configuration(file):
+def _check_platform_configuration(file, in_force):
+    """Print the findings and the differences; return 1 if there are findings."""
+    content = _read_bytes(file)
+    found = check_document(content)
+    if found and found[0].is_error:
+        first, *others = found
+        raise InvalidConfiguration(f"{file}: {first}", others)
+    differences = ()
+    if in_force is not None:
+        try:
+            differences, more = compare_documents(content, _read_bytes(in_force))
+        except PlatformFormatError as exc:
+            raise InvalidAnswer(f"{in_force}: {exc}") from exc
+        found += more
+    table = decode_configuration(content)
+    print(f"{file}: valid: version {table.version}, {len(table.routes)} routes")
+    for item in found:
+        print(f"  {item}")
+    if in_force is not None:
+        print("changes:" if differences else "no changes")
+        for line in differences:
+            print(f"  {line}")
+    return 1 if found else 0
+
+
+def _read_bytes(file):
     try:
-        content = Path(file).read_bytes()
+        return Path(file).read_bytes()
     except OSError as exc:
         raise InvalidAnswer(f"{file}: cannot be read: {exc.strerror}") from exc
-    try:
-        table = decode_configuration(content)
-    except PlatformFormatError as exc:
-        raise InvalidAnswer(f"{file}: {exc}") from exc
-    print(f"{file}: valid: version {table.version}, {len(table.routes)} routes")
-    for name in table.unknown:
-        print(f"  not known to this release: {name}")
-    return 0
 
 
 def apply(file, settings, address, author, base):
--- a/goldcresthoist/cli/_main.py
+++ b/goldcresthoist/cli/_main.py
@@ -13,7 +13,7 @@
 from goldcresthoist import __version__
 from goldcresthoist.cli._commands import Commands
 from goldcresthoist.cli._invocation import Invocation
-from goldcresthoist.cli.errors import CommandError, CommandFailed, UsageError
+from goldcresthoist.cli.errors import CommandError, UsageError
 from goldcresthoist.config import ConfigError, ConfigurationConflict
 
 PROGRAM = "goldcresthoist"
@@ -50,10 +50,8 @@
         return status
     except UsageError as exc:
         return _report_error(f"{exc}; see {PROGRAM} --help", BAD_USAGE)
-    except CommandFailed as exc:
-        return _report_error(str(exc), FAILURE, exc.details)
     except CommandError as exc:
-        return _report_error(str(exc), exc.status)
+        return _report_error(str(exc), exc.status, exc.details)
     except ConfigurationConflict as exc:
         return _report_error(str(exc), FAILURE)
     except ConfigError as exc:
--- a/goldcresthoist/cli/tests/test_cli.py
+++ b/goldcresthoist/cli/tests/test_cli.py
@@ -14,6 +14,7 @@
 from goldcresthoist.cli import main
 from goldcresthoist.config import Questionnaire, generate
 from goldcresthoist.operators.tests.builders import SHARED_KEY, ServerThread
+from goldcresthoist.platform.tests.builders import encode_changed
 from goldcresthoist.tests.builders import temporary_folder, write_settings
 
 ROOT = Path(__file__).resolve().parents[3]
@@ -82,23 +83,50 @@
         self.assertEqual(status, 2)
         self.assertIn("GOLDCRESTHOIST_NODE_FILE is not set", error)
 
-    def test_check_names_unknown_parts_of_a_platform_configuration(self):
-        """Guards against an operator who takes a new setting to be in force."""
+    def test_check_of_a_platform_configuration(self):
+        """Guards against an operator who takes a new setting to be in force.
+
+        Scripts rely on the exit status: 0, 1 for findings, 2 if not valid.
+        """
         path = Path(temporary_folder(self)) / "config.json"
-        route = '{"name":"r","host":"h","prefix":"/","kind":"%s","timeout_s":1%s}'
-        for kind, more, lines in (
-            ("stream", ',"service":"s"', ["not known to this release: kind 'stream'"]),
-            ("idempotent", ',"service":"s"', []),
-        ):
-            path.write_text('{"version":3,"routes":[%s]}' % (route % (kind, more)))
-            status, out, _ = run("config", "check", path)
-            self.assertEqual(status, 0)
-            found = [line.strip() for line in out.splitlines()]
-            self.assertEqual(found, [f"{path}: valid: version 3, 1 routes", *lines])
+        path.write_bytes(encode_changed())
+        valid = f"{path}: valid: version 3, 2 routes\n"
+        self.assertEqual(run("config", "check", path), (0, valid, ""))
+        path.write_bytes(encode_changed(("routes", 0, "kind", "stream")))
+        status, out, err = run("config", "check", path)
+        self.assertEqual((status, err), (1, ""))
+        self.assertTrue(out.startswith(f"{valid}  routes[0].kind: 'stream': "), out)
         path.write_text("{}")
+        status, out, err = run("config", "check", path)
+        self.assertEqual((status, out, len(err.splitlines())), (2, "", 1))
+        self.assertIn("version", err)
+        path.write_bytes(encode_changed(("version", "x"), ("limits", 1)))
         status, _, err = run("config", "check", path)
+        self.assertEqual((status, len(err.splitlines())), (2, 2))
+        self.assertIn(f"{path}: version: ", err)
+
+    def test_check_against_a_version_in_force(self):
+        """Guards against a change that nobody sees before it is in force."""
+        folder = Path(temporary_folder(self))
+        path, in_force = folder / "new.json", folder / "old.json"
+        in_force.write_bytes(encode_changed())
+        path.write_bytes(encode_changed(("version", 4), ("tenants", 0, "burst", 9)))
+        command = ("config", "check", path, "--in-force", in_force)
+        status, out, _ = run(*command)
+        self.assertEqual(status, 0)
+        expected = ["changes:", "  workspace a: burst 5.0 -> 9.0"]
+        self.assertEqual(out.splitlines()[1:], expected)
+        path.write_bytes(encode_changed())
+        status, out, _ = run(*command)
+        self.assertEqual(status, 1)
+        self.assertIn("version: 3 is not newer than 3", out)
+        self.assertEqual(out.splitlines()[-1], "no changes")
+        in_force.write_text("{")
+        status, _, err = run(*command)
+        self.assertEqual((status, len(err.splitlines())), (2, 1))
+        self.assertIn(str(in_force), err)
+        status, _, err = run("config", "check", ARCHIVE, "--in-force", in_force)
         self.assertEqual((status, len(err.splitlines())), (2, 1))
-        self.assertIn("version", err)
 
     def test_unreachable_daemon_is_status_1(self):
         status, _, err = run("status", "--address", "127.0.0.1:1")
