Count only refusals of nearly full upstreams as overload

Cause: serving daemons also refuse requests that have alternatives in a slow phase, while slots are free. Counted as overload, these refusals would stop hedges just when they help: two of them in ten requests did in the test of HedgeLimit before. Change: a refusal counts if its load report shows 0.8 of the slots in use, and hedges stop above a quarter of the requests instead of a tenth. Both figures are chosen, not measured.

--- a/goldcresthoist/balance/hedge_limit.py
+++ b/goldcresthoist/balance/hedge_limit.py
@@ -27,11 +27,15 @@
 AIM_DELAY_RATIO = 1.3
 # Largest number of tokens. A quiet time saves up no more hedges than this.
 TOKEN_CAPACITY = 2.0
-# A service counts as overloaded while the recent refusals by its serving daemons exceed
-# this share of the recent requests plus `REFUSAL_SLACK`. A single refusal at a daemon
-# with few requests stops hedges for up to a half-life.
-REFUSAL_SHARE = 0.1
+# A service counts as overloaded while the recent refusals by its nearly full upstreams
+# exceed this share of the recent requests plus `REFUSAL_SLACK`. A single refusal at a
+# daemon with few requests stops hedges for up to a half-life.
+REFUSAL_SHARE = 0.25
 REFUSAL_SLACK = 0.5
+# An upstream is nearly full when at least this share of its slots is in use. Serving
+# daemons also refuse requests in a slow phase, while slots are free; that is a reason
+# for a hedge and no sign of overload.
+NEARLY_FULL_SHARE = 0.8
 # Half-life of both counts, in seconds.
 REFUSAL_HALF_LIFE_S = 1.0
 
@@ -93,7 +97,7 @@
     SEND = "send"
     # A copy could not end before the deadline.
     TOO_LATE = "too-late"
-    # Serving daemons of the service have recently refused requests.
+    # Nearly full upstreams of the service have recently refused requests.
     OVERLOADED = "overloaded"
     # The operator's limit is used up.
     LIMIT = "limit"
@@ -161,16 +165,26 @@
         """
         self.timer.record(rule, latency_s)
 
-    def record_refusal(self, service, now):
-        """Count a refusal of a first copy by a serving daemon that has no capacity."""
-        self._counts(service, now).refusals += 1.0
+    def record_refusal(self, service, load, now):
+        """Count a refusal of a first copy if its upstream is nearly full.
+
+        Parameters
+        ----------
+        service : str
+        load : LoadReport or None
+            Load in the refusal. Without it the upstream is taken to be full.
+        now : float
+            Monotonic seconds.
+        """
+        if load is None or load.in_flight >= int(NEARLY_FULL_SHARE * load.slots):
+            self._counts(service, now).refusals += 1.0
 
     def delay_s(self, rule):
         """Return the delay in seconds after which a request may be hedged."""
         return self.timer.delay_s(rule)
 
     def is_overloaded(self, service, now):
-        """Return whether serving daemons have recently refused too many requests."""
+        """Return whether nearly full upstreams have recently refused many requests."""
         counts = self._counts(service, now)
         return counts.refusals > REFUSAL_SHARE * counts.requests + REFUSAL_SLACK
 
--- a/goldcresthoist/node/hedging.py
+++ b/goldcresthoist/node/hedging.py
@@ -12,8 +12,6 @@
 # the deadline, because its response would come too late. Nor is a hedge without the
 # operator's limit, which has a stricter rule.
 MIN_TIME_LEFT_SHARE = 0.7
-# Codes of refusals by serving daemons that have no capacity for a first copy.
-NO_CAPACITY_CODES = frozenset(("saturated",))
 
 
 class Hedging:
@@ -49,8 +47,8 @@
         if attempt.hedge:
             self.limit.refund()
             self.counters.add("hedges_refused", service=request.service.name)
-        elif refusal.code in NO_CAPACITY_CODES:
-            self.limit.record_refusal(request.service.name, monotonic())
+        elif refusal.code == "saturated":
+            self.limit.record_refusal(request.service.name, refusal.load, monotonic())
 
     def keep_routes(self, names):
         """Discard what is known of all routes but those of these names."""
