--- a/goldcresthoist/links/frames.py
+++ b/goldcresthoist/links/frames.py
@@ -141,6 +141,8 @@
         Name of the workspace of the request; empty when it has none.
     retried : bool
         Whether another upstream may have got the request before, or gets it as well.
+    spare_slot_only : bool
+        Whether the call may start only at once, on a slot that no other call needs.
     """
 
     call_id: int
@@ -162,6 +164,7 @@
     repeatable: bool = False
     workspace: str = ""
     retried: bool = False
+    spare_slot_only: bool = False
 
 
 class Body(msgspec.Struct, frozen=True, array_like=True, tag=5):
