Order waiting calls by the recent use of workspaces and the shares of kinds

Cause: the queue of an upstream knew no workspaces, so one that sent most got most. Work with a long time limit was refused in slow phases that it could outlast, and evicted by any short call that found the queue full. Change: CallRanking orders the calls; FairShare keeps the recent use of each workspace, KindShares how often each kind is served. Calls that can outlast a slow phase have places of their own. A call that cannot start now no longer blocks calls with workspaces behind it. SlotCall moves to slot_calls.py.

--- a/goldcresthoist/balance/__init__.py
+++ b/goldcresthoist/balance/__init__.py
@@ -29,7 +29,8 @@
 from goldcresthoist.balance.policy import Default, Naive, Policy, get_policy
 from goldcresthoist.balance.rate_limit import RateLimit
 from goldcresthoist.balance.shared_budget import SharedRetryBudget
-from goldcresthoist.balance.slots import SlotCall, SlotQueue
+from goldcresthoist.balance.slot_calls import SlotCall
+from goldcresthoist.balance.slots import SlotQueue
 from goldcresthoist.balance.subset import UpstreamSubset
 from goldcresthoist.balance.suspects import CrashSuspects, SuspectRecord
 from goldcresthoist.balance.views import Outcome, UpstreamPool, UpstreamView
--- a/goldcresthoist/balance/slots.py
+++ b/goldcresthoist/balance/slots.py
@@ -8,14 +8,15 @@
 import asyncio
 import enum
 import math
-from dataclasses import dataclass
 
 from goldcresthoist.balance.errors import Draining, Saturated
 from goldcresthoist.balance.knee import KneeDetector
 from goldcresthoist.balance.pace import PaceEstimator
+from goldcresthoist.balance.ranking import CallRanking
 from goldcresthoist.balance.rate_limit import RateLimit
+from goldcresthoist.balance.slot_calls import Waiter
 
-__all__ = ["SlotCall", "SlotQueue"]
+__all__ = ["SlotQueue"]
 
 # Weight of one call in the moving average of the service time of its kind of work.
 SERVICE_TIME_WEIGHT = 0.1
@@ -47,6 +48,9 @@
 # Service times vary, so a call is queued only when its expected end lies within this
 # share of the time until its soft deadline.
 SAFETY_SHARE = 0.5
+# The same for a call that can outlast a slow phase (see `CallRanking.can_wait`). Its
+# expected end includes the rest of the phase, so less is left to chance.
+PATIENT_SAFETY_SHARE = 0.8
 # A call that can no longer meet its soft deadline ranks below all others. It waits for
 # at most this share of the time until its deadline.
 LATE_WAIT_SHARE = 0.3
@@ -72,34 +76,6 @@
 MAX_SLOW_PHASE_S = 1.5
 
 
-@dataclass(frozen=True, slots=True)
-class SlotCall:
-    """A call that requests a slot. Times are monotonic seconds.
-
-    Attributes
-    ----------
-    work : str
-        Name of the kind of work, as in the configuration.
-    priority : int
-        Lower values are served first.
-    deadline : float
-        Time by which the call must have ended.
-    soft_deadline : float
-        Time from which a response has less than its full value.
-    alternatives : int
-        Number of other upstreams that could still run the call.
-    workspace : str
-        Name of the workspace of the call; empty when it has none.
-    """
-
-    work: str
-    priority: int
-    deadline: float
-    soft_deadline: float
-    alternatives: int
-    workspace: str = ""
-
-
 class _StartDecision(enum.Enum):
     """Whether a call may start, judged by the pace of the upstream."""
 
@@ -110,24 +86,10 @@
     WAIT = "later"
 
 
-class _Waiter:
-    __slots__ = ("call", "future", "order", "respond_by")
-
-    def __init__(self, call, future, order, respond_by):
-        self.call = call
-        self.future = future
-        self.order = order
-        # Time by which the response should be sent. The deadline of the call replaces
-        # it for short work and while the upstream is in a slow phase.
-        self.respond_by = respond_by
-
-
 class SlotQueue:
     """Assigns slots to calls, and refuses at once those that would end too late.
 
-    Waiting calls are served by length (short work first), then priority, then age.
-    Calls that can no longer meet their soft deadline rank below those that can, unless
-    their work is short.
+    `CallRanking` orders the waiting calls.
 
     Attributes
     ----------
@@ -154,6 +116,11 @@
         ``request_pace`` is None, calls start at any pace.
     pace_unavailable_until : float
         Calls start at any pace until this time because the upstream reports none.
+    ranking : CallRanking
+        Order of the calls, and the recent use by workspaces.
+    on_evicted : callable
+        ``on_evicted(victim, call)`` is called with two `SlotCall` when a waiting call
+        is refused in favour of a new one.
     on_knee_verdict : callable
         ``on_knee_verdict(verdict)`` is called with each verdict of this daemon on
         whether the upstream slows down when nearly full.
@@ -177,6 +144,8 @@
         self.arrivals = 0
         self.request_pace = None
         self.pace_unavailable_until = 0.0
+        self.ranking = CallRanking(self.usual_s, self.is_short)
+        self.on_evicted = lambda victim, call: None
         self.on_knee_verdict = self.knee.add_verdict
 
     def mean_service_s(self):
@@ -229,14 +198,12 @@
 
     def expected_wait_s(self, call, now):
         """Return the expected queueing time of a new call, in seconds."""
-        rank = self._rank(call, now)
-        before = sum(1 for item in self.waiting if self._rank(item.call, now) <= rank)
+        before = self.ranking.count_before(call, self.waiting, now)
         rate_wait_s = self.rate.wait_s(now, before)
-        # The second part of the rank of short work is 0.
-        free = self.limit_for(rank[1] == 0) - self.running
+        free = self.limit_for(self.is_short(call.work)) - self.running
         if before < free:
             return rate_wait_s
-        pace = self.pace.expected(now)
+        pace = self._pace_of_start(call, now)
         # Without any response, the other calls are taken to be like this one.
         mean_s = self.mean_s or self.usual_s(call, now)
         slot_wait_s = (before - free + 1) * mean_s * pace / max(1, self.slots)
@@ -258,6 +225,7 @@
         """
         if self.draining:
             raise Draining
+        self.ranking.observe(call)
         usual_s = self.usual_s(call, now)
         if now + MIN_SERVICE_SHARE * usual_s * self.pace.base > call.deadline:
             raise Saturated(MIN_RETRY_AFTER_S)
@@ -274,6 +242,7 @@
             start = self._decide_start(usual_s, now)
             if start is _StartDecision.START:
                 self._take_slot(now)
+                self.ranking.record_start(call, now)
                 return None
             if start is _StartDecision.WAIT and call.alternatives > 0:
                 raise Saturated(MIN_RETRY_AFTER_S)
@@ -284,19 +253,15 @@
             if call.alternatives == 0 or not self._is_slow_phase(now):
                 return self._enqueue_and_request_pace(call, now)
         wait_s = self.expected_wait_s(call, now)
-        end = now + wait_s + usual_s * self.pace.expected(now)
-        queue_full = len(self.waiting) >= QUEUE_PER_SLOT * self.slots
-        if short:
-            # The parent call still succeeds with a response after the soft deadline.
-            respond_by = call.deadline
-        elif now + usual_s > call.soft_deadline:
-            respond_by = _late_response_limit(call, now)
-        else:
-            respond_by = now + SAFETY_SHARE * (
-                min(call.soft_deadline, call.deadline) - now
-            )
+        end = now + wait_s + usual_s * self._pace_of_start(call, now)
+        if self._can_outlast_slow_phase(call, now) and self._is_slow_phase(now):
+            end += MEAN_SLOW_REMAINDER_S
+        places = QUEUE_PER_SLOT * self.slots
+        queue_full = self.ranking.is_full(call, self.waiting, places, now)
+        respond_by = self._respond_by(call, usual_s, now)
         if call.alternatives > 0 or queue_full or end > respond_by:
-            if not self._evict_less_urgent(call, short, now):
+            if not self._evict_less_urgent(call, now):
+                self.ranking.record_refusal(call, now)
                 raise Saturated(max(MIN_RETRY_AFTER_S, wait_s))
         return self._enqueue(call, now)
 
@@ -325,8 +290,7 @@
             verdict = self.knee.record(work, taken_s, running, self.slots)
             if verdict is not None:
                 self.on_knee_verdict(verdict)
-        pace = max(0.2, (pace_at_start + self.pace.expected(now)) / 2.0)
-        sample = taken_s / pace
+        sample = taken_s / self._pace_of_run(pace_at_start, now)
         known = self.service_s.get(work, sample)
         sample = min(sample, SAMPLE_LIMIT * known)
         known += SERVICE_TIME_WEIGHT * (sample - known)
@@ -355,28 +319,15 @@
         phase, a call that loses too much by starting stays in the queue if it has no
         alternatives, and is refused otherwise.
         """
-        while self.waiting and self.running < self.slots:
+        candidates = list(self.waiting)
+        while candidates and self.running < self.slots:
             if self._is_paused(now):
                 return
-            waiter = self._next_waiter(now)
-            call = waiter.call
-            if self.running >= self.limit_for(self.is_short(call.work)):
-                return
-            if not waiter.future.done():
-                start = self._decide_start(self.usual_s(call, now), now)
-                if start is _StartDecision.REFRESH_PACE:
-                    self.request_pace()
-                    return
-                if start is _StartDecision.WAIT:
-                    if call.alternatives == 0:
-                        return
-                    self._fail(waiter, Saturated(MIN_RETRY_AFTER_S))
-                    continue
-            self.waiting.remove(waiter)
-            if waiter.future.done():
-                continue
-            self._take_slot(now)
-            waiter.future.set_result(None)
+            waiter = self.ranking.next(candidates, now)
+            if self._try_start(waiter, now):
+                candidates.remove(waiter)
+            else:
+                candidates = self.ranking.without_blocked(candidates, waiter)
 
     def expire(self, now):
         """Refuse the waiting calls that would end too late, and start others.
@@ -390,14 +341,14 @@
             respond_by = call.deadline if wait_until_deadline else waiter.respond_by
             late = now + MIN_SERVICE_SHARE * usual_s > respond_by
             if late or now + usual_s * self.pace.base > call.deadline:
-                self._fail(waiter, Saturated(MIN_RETRY_AFTER_S))
+                self._fail(waiter, Saturated(MIN_RETRY_AFTER_S), now)
         self.dispatch(now)
 
     def drain(self):
         """Refuse waiting and new calls from now on; running calls continue."""
         self.draining = True
         for waiter in tuple(self.waiting):
-            self._fail(waiter, Draining())
+            self._fail(waiter, Draining(), 0.0)
 
     def abandon(self, future):
         """Remove the waiting call of this future; its caller no longer needs a slot."""
@@ -406,6 +357,44 @@
                 self.waiting.remove(waiter)
                 return
 
+    def record_end(self, call, taken_s, pace_at_start, now):
+        """Record that a call that held a slot has ended, for the order of others.
+
+        Parameters
+        ----------
+        call : SlotCall
+        taken_s : float
+            Seconds for which the call ran; 0 when it was not sent to the upstream.
+        pace_at_start : float
+            Pace that was expected when the call started.
+        now : float
+            Monotonic seconds.
+        """
+        used_s = taken_s / self._pace_of_run(pace_at_start, now)
+        self.ranking.record_end(call, used_s, now)
+
+    def _try_start(self, waiter, now):
+        """Start a waiting call, or refuse it; return False when it must still wait."""
+        call = waiter.call
+        if self.running >= self.limit_for(self.is_short(call.work)):
+            return False
+        if not waiter.future.done():
+            start = self._decide_start(self.usual_s(call, now), now)
+            if start is _StartDecision.REFRESH_PACE:
+                self.request_pace()
+                return False
+            if start is _StartDecision.WAIT:
+                if call.alternatives == 0:
+                    return False
+                self._fail(waiter, Saturated(MIN_RETRY_AFTER_S), now)
+                return True
+        self.waiting.remove(waiter)
+        if not waiter.future.done():
+            self._take_slot(now)
+            self.ranking.record_start(call, now)
+            waiter.future.set_result(None)
+        return True
+
     def _is_paused(self, now):
         """Return whether no call may start now, whatever slots are free."""
         after_rejection = now < self.paused_until and self.running > 0
@@ -462,67 +451,63 @@
         self.arrivals += 1
         future = asyncio.get_running_loop().create_future()
         respond_by = call.soft_deadline
+        can_wait = self.ranking.can_wait(call, now)
         if now + self.usual_s(call, now) > call.soft_deadline:
             respond_by = _late_response_limit(call, now)
-        self.waiting.append(_Waiter(call, future, self.arrivals, respond_by))
+        elif can_wait:
+            respond_by = _late_response_limit(call, call.soft_deadline)
+        waiter = Waiter(call, future, self.arrivals, respond_by, can_wait)
+        self.waiting.append(waiter)
         return future
 
-    def _rank(self, call, now):
-        """Return the sort key of a call in the queue; the lowest is served first.
-
-        Its parts are whether the call is late and not short, 0 for short and 1 for
-        other work, and the priority.
-        """
-        late = now + self.usual_s(call, now) > call.soft_deadline
-        short = self.is_short(call.work)
-        return (late and not short, 0 if short else 1, call.priority)
-
-    def _next_waiter(self, now):
-        return min(
-            self.waiting, key=lambda item: (*self._rank(item.call, now), item.order)
-        )
-
     def _waiting_short_calls(self):
         return [item for item in self.waiting if self.is_short(item.call.work)]
 
-    def _evict_less_urgent(self, call, short, now):
-        """Refuse the newest of the least urgent waiting calls in favour of a new call.
+    def _evict_less_urgent(self, call, now):
+        """Refuse a less urgent waiting call in favour of a new one, if there is any.
 
-        Only calls that are less urgent than the new one are considered: those of lower
-        priority, late ones if the new call is not late, and those of other work if the
-        new call is short. A call that has alternatives evicts none.
-
-        Returns
-        -------
-        bool
-            Whether a waiting call was refused.
+        A call that has alternatives evicts none. Return whether a call was refused.
         """
         if call.alternatives > 0:
             return False
-        rank = self._rank(call, now)
-        less_urgent = [
-            item
-            for item in self.waiting
-            if item.call.priority > call.priority
-            or (short and not self.is_short(item.call.work))
-            or self._rank(item.call, now)[0] > rank[0]
-        ]
-        if not less_urgent:
+        victim = self.ranking.select_victim(call, self.waiting, now)
+        if victim is None:
             return False
-        victim = max(
-            less_urgent,
-            key=lambda item: (
-                self._rank(item.call, now)[0],
-                item.call.priority,
-                item.order,
-            ),
-        )
-        self._fail(victim, Saturated(MIN_RETRY_AFTER_S))
+        self._fail(victim, Saturated(MIN_RETRY_AFTER_S), now)
+        self.on_evicted(victim.call, call)
         return True
 
-    def _fail(self, waiter, error):
+    def _respond_by(self, call, usual_s, now):
+        """Return the time by which a new call must be expected to end to be queued."""
+        if self.is_short(call.work):
+            # The parent call still succeeds with a response after the soft deadline.
+            return call.deadline
+        if now + usual_s > call.soft_deadline:
+            return _late_response_limit(call, now)
+        share = SAFETY_SHARE
+        if self.ranking.can_wait(call, now):
+            share = PATIENT_SAFETY_SHARE
+        return now + share * (min(call.soft_deadline, call.deadline) - now)
+
+    def _pace_of_start(self, call, now):
+        """Return the pace at which a new call is expected to start."""
+        if self._can_outlast_slow_phase(call, now):
+            return self.pace.base
+        return self.pace.expected(now)
+
+    def _pace_of_run(self, pace_at_start, now):
+        """Return the mean pace of a call that ends now."""
+        return max(0.2, (pace_at_start + self.pace.expected(now)) / 2.0)
+
+    def _can_outlast_slow_phase(self, call, now):
+        """Return whether a call waits for the end of slow phases, and can."""
+        return self.request_pace is not None and self.ranking.can_wait(call, now)
+
+    def _fail(self, waiter, error, now):
         self.waiting.remove(waiter)
         if not waiter.future.done():
+            if isinstance(error, Saturated):
+                self.ranking.record_refusal(waiter.call, now)
             waiter.future.set_exception(error)
 
 
--- a/goldcresthoist/balance/tests/test_unchanged_order.py
+++ b/goldcresthoist/balance/tests/test_unchanged_order.py
@@ -3,7 +3,7 @@
 import hashlib
 import unittest
 
-from goldcresthoist.balance.tests.queue_load import Kind, QueueLoad
+from goldcresthoist.bench.queue_load import Kind, QueueLoad
 
 # Decisions of `SlotQueue` at commit 34ffeb7, which knew no fairness, in runs of 60 s:
 # load relative to the first, seed, number of decisions and digest.
--- a/goldcresthoist/balance/tests/queue_load.py
+++ b/goldcresthoist/bench/queue_load.py
@@ -1,4 +1,7 @@
-"""Deterministic load on one `SlotQueue` in virtual time, for tests and measurements."""
+"""Deterministic load on one `SlotQueue` in virtual time, for tests and measurements.
+
+Calls keep the pace at which they start. Refused calls are not repeated.
+"""
 
 import heapq
 import random
@@ -7,6 +10,8 @@
 
 from goldcresthoist.balance import AdmissionRefused, SlotCall, SlotQueue
 
+__all__ = ["Kind", "QueueLoad"]
+
 EXPIRY_INTERVAL_S = 0.02
 PACE_REPLY_S = 0.002
 
@@ -78,11 +83,14 @@
             del self.waiting[future]
             self.queue.abandon(future)
 
-    def share(self, outcome, kind=None, workspace=None):
-        """Return the share of the offered calls with this outcome."""
+    def share(self, outcome, kind=None, workspaces=None):
+        """Return the share of the offered calls with this outcome.
+
+        Only the calls of one kind or of some workspaces are counted if these are given.
+        """
         total = Counter()
         for key, count in self.counts.items():
-            if kind in (None, key[0]) and workspace in (None, key[1]):
+            if kind in (None, key[0]) and (workspaces is None or key[1] in workspaces):
                 total[key[2]] += count
         return total[outcome] / max(1, total["offered"])
 
@@ -137,8 +145,7 @@
 
     def _end(self, call, workspace, started, pace_at_start, running):
         taken_s = self.now - started
-        if call.workspace:
-            self.queue.correct_use(call, taken_s, pace_at_start, self.now)
+        self.queue.record_end(call, taken_s, pace_at_start, self.now)
         if self.now < call.deadline:
             self._count(self.kinds[call.work], workspace, "served")
             if self.now <= call.soft_deadline:
