Report evicted calls and kinds of work that are served less often

Cause: the charge of a call was not corrected at its end, and operators could not see which workspace the queue refuses calls of. Change: the end of each call corrects the charge; log events 'calls evicted' and 'kind served less often', metrics calls_evicted and workspace_accounts.

--- a/goldcresthoist/node/assembly.py
+++ b/goldcresthoist/node/assembly.py
@@ -206,6 +206,10 @@
         self.counters.gauge("members", lambda: len(self.directory.members))
         self.counters.gauge("in_flight", lambda: self.server.queue.running)
         self.counters.gauge("queued", lambda: len(self.server.queue.waiting))
+        self.counters.gauge(
+            "workspace_accounts",
+            lambda: len(self.server.queue.ranking.fair_share.accounts),
+        )
         self.counters.gauge("upstream_limit_per_s", self._upstream_limit)
         self.counters.gauge("transfer_bytes", lambda: self.transfers.used)
         self.counters.gauge("configuration_version", lambda: self.watch.version)
--- a/goldcresthoist/node/call_execution.py
+++ b/goldcresthoist/node/call_execution.py
@@ -146,13 +146,13 @@
     def abandon(self):
         """Release the slot, or leave the queue, without running the call."""
         queue = self.server.queue
-        if self.future is None:
-            queue.release(monotonic())
-        elif self.future.done():
-            if not self.future.cancelled() and self.future.exception() is None:
-                queue.release(monotonic())
-        else:
-            queue.abandon(self.future)
+        future = self.future
+        if future is not None and not future.done():
+            queue.abandon(future)
+        elif future is None or not (future.cancelled() or future.exception()):
+            now = monotonic()
+            queue.record_end(self.slot_call, 0.0, 1.0, now)
+            queue.release(now)
 
     async def run(self):
         """Send the call to the upstream, relay the response and release the slot.
@@ -188,10 +188,12 @@
         self.ended = True
         queue = self.server.queue
         now = monotonic()
+        taken_s = now - self.started_at
+        queue.record_end(self.slot_call, taken_s, self.pace_at_start, now)
         if succeeded:
             queue.record(
                 self.slot_call.work,
-                now - self.started_at,
+                taken_s,
                 self.pace_at_start,
                 self.running_at_start,
                 now,
--- a/goldcresthoist/node/serving.py
+++ b/goldcresthoist/node/serving.py
@@ -15,6 +15,7 @@
 from goldcresthoist.links.frames import ConfigurationContent, FailureKind, LoadReport
 from goldcresthoist.node.call_execution import CallExecution
 from goldcresthoist.node.pace_probe import PaceProbe
+from goldcresthoist.node.scheduling_report import SchedulingReport
 from goldcresthoist.supervision import keep_running
 
 __all__ = ["MAX_CRASHES", "STORED_CRASHES", "UpstreamServer"]
@@ -64,6 +65,8 @@
     ----------
     queue : SlotQueue
         Assigns the slots of the local upstream to calls.
+    scheduling : SchedulingReport
+        Log events and metrics of the order of calls.
     probe : PaceProbe
         Fetches the pace of the local upstream when the queue requests it.
     limit_per_s : float or None
@@ -86,6 +89,7 @@
         self.pauses = pauses
         self.queue = SlotQueue()
         self.queue.on_knee_verdict = self._on_local_knee_verdict
+        self.scheduling = SchedulingReport(self.queue, counters, log)
         self.probe = PaceProbe(self, counters, log)
         self.queue.request_pace = self.probe.trigger
         self.limit_per_s = None
@@ -438,5 +442,7 @@
     async def _expire(self):
         while True:
             await asyncio.sleep(EXPIRY_INTERVAL_S)
+            now = monotonic()
             if self.queue.waiting:
-                self.queue.expire(monotonic())
+                self.queue.expire(now)
+            self.scheduling.log_if_due(now)
