Run pipelined requests of one connection concurrently

Cause: the server handed the requests of a connection to the handler one after the other, so a slow response held up all requests behind it. A task that takes such a request leaves the connection to a new task, so that nothing runs between the decision and the handler. Behind a response that closes the connection nothing is started, and input is discarded until the caller closes, so that no reset destroys the response. Without the callback requests run one after the other as before.

--- a/goldcresthoist/callers/exchange.py
+++ b/goldcresthoist/callers/exchange.py
@@ -1,8 +1,5 @@
 """The response to one request of a caller."""
 
-import socket
-import struct
-
 import msgspec
 
 from goldcresthoist.callers.errors import CallerGone
@@ -11,15 +8,21 @@
 
 __all__ = ["Exchange"]
 
-# With a linger time of 0, closing a socket resets the connection.
-_LINGER_ZERO = struct.pack("ii", 1, 0)
-
 
 class Exchange:
     """Writes the response to one request and enforces correct HTTP framing.
 
     The response is complete only if `finished` is true. The connection is aborted if
     the handler ends without a complete response.
+
+    Parameters
+    ----------
+    connection : ResponseWriter
+        Takes the bytes of the response.
+    request : CallerRequest or None
+        None for a response to input that is no request.
+    closing : bool
+        Whether the connection is closed after the response.
     """
 
     __slots__ = (
@@ -56,7 +59,7 @@
         """Send ``100 Continue`` if the caller expects it before it sends the body."""
         if self.continue_pending and not self.started:
             self.continue_pending = False
-            self.connection.transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+            self.connection.write(b"HTTP/1.1 100 Continue\r\n\r\n")
 
     def start(self, status, headers, body=b"", end=False):
         """Write the head and the first bytes of the body.
@@ -84,12 +87,14 @@
             parts.append(self._frame_body(body))
         if end:
             self._finish(parts)
-        self.connection.transport.write(b"".join(parts))
+        self.connection.write(b"".join(parts))
+        if not self.keep_alive:
+            self.connection.end_connection()
 
     async def send(self, body):
         """Write body bytes and wait until the transport accepts more data."""
         if body and not self.bodyless:
-            self.connection.transport.write(self._frame_body(body))
+            self.connection.write(self._frame_body(body))
         await self.connection.drain()
 
     def finish(self):
@@ -103,7 +108,7 @@
         parts = []
         self._finish(parts)
         if parts:
-            self.connection.transport.write(b"".join(parts))
+            self.connection.write(b"".join(parts))
 
     def refuse(self, code, message, retry_after_ms=0):
         """Send a refusal with the outcome that the request was not executed."""
@@ -124,10 +129,7 @@
 
     def abort(self):
         """Reset the connection, so that the caller detects a truncated response."""
-        sock = self.connection.transport.get_extra_info("socket")
-        if sock is not None and not self.connection.closed:
-            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _LINGER_ZERO)
-        self.connection.transport.abort()
+        self.connection.abort()
 
     def _add_framing(self, parts, headers, body, end):
         length = header_value(headers, b"content-length")
--- a/goldcresthoist/callers/server.py
+++ b/goldcresthoist/callers/server.py
@@ -2,11 +2,14 @@
 
 import asyncio
 import select
+import socket
+import struct
 from collections import deque
 
 from goldcresthoist.callers.errors import BadRequest, CallerError, CallerGone
 from goldcresthoist.callers.exchange import Exchange
 from goldcresthoist.callers.limits import ConnectionLimits
+from goldcresthoist.callers.pipeline import ResponseOrder
 from goldcresthoist.callers.refusal import Outcome, Refusal
 from goldcresthoist.callers.request import RequestParser
 
@@ -19,6 +22,8 @@
 # are no request up to this number. They are discarded.
 DISCARD_TIMEOUT_S = 2.0
 MAX_DISCARDED_BYTES = 1024 * 1024
+# With a linger time of 0, closing a socket resets the connection.
+_LINGER_ZERO = struct.pack("ii", 1, 0)
 
 
 class CallerServer:
@@ -36,6 +41,10 @@
         It may set ``exchange.begin_result`` to an object with a method
         ``cancel_pending()``, which is called if the connection ends before the handler
         is called.
+    runs_beside : callable, optional
+        ``runs_beside(request)`` returns whether a request may run while others of its
+        connection do. It is called synchronously just before the handler. Without it,
+        the requests of a connection run one after the other. It excludes ``begin``.
 
     Attributes
     ----------
@@ -43,9 +52,10 @@
         Replaced by `set_limits`.
     """
 
-    def __init__(self, handler, counters, begin=None):
+    def __init__(self, handler, counters, begin=None, runs_beside=None):
         self.handler = handler
         self.begin = begin
+        self.runs_beside = runs_beside
         self.counters = counters
         self.connections = set()
         self.draining = False
@@ -54,6 +64,9 @@
         self.limits = ConnectionLimits()
         # Called with each unexpected exception of the handler.
         self.on_error = lambda error: None
+        # Called with the numbers of requests that were cancelled and that were not
+        # started because a response in front of them closed the connection.
+        self.on_dropped = lambda cancelled, unread: None
 
     def set_limits(self, limits):
         """Replace the limits, also those of open connections."""
@@ -86,11 +99,15 @@
 
     def unsent_bytes(self):
         """Return the number of bytes that callers have not accepted yet."""
-        return sum(
+        return self.held_bytes() + sum(
             connection.transport.get_write_buffer_size()
             for connection in self.connections
         )
 
+    def held_bytes(self):
+        """Return the bytes of responses that wait for an earlier one."""
+        return sum(connection.order.held_bytes for connection in self.connections)
+
     async def close(self):
         """Stop accepting and close every connection."""
         if self.sweep_task is not None:
@@ -110,7 +127,20 @@
 
 
 class CallerConnection(asyncio.Protocol):
-    """One connection of a caller, with a task that handles its requests in order."""
+    """One connection of a caller, with a task that starts its requests in order.
+
+    The task handles a request that runs alone itself. With a request that runs beside
+    others it leaves the connection to a new task first. Nothing can run between the
+    decision that a request runs beside others and the first step of its handler, so
+    both see the same configuration.
+
+    Attributes
+    ----------
+    task : asyncio.Task
+        The task that starts the next request.
+    order : ResponseOrder
+        Requests under way and their responses.
+    """
 
     def __init__(self, server):
         self.server = server
@@ -118,9 +148,13 @@
         self.transport = None
         self.parser = RequestParser(self._on_request, self._on_consumed, server.limits)
         self.pending_requests = deque()
-        self.current_exchange = None
+        self.order = ResponseOrder(self, self._wake_task)
         self.begun_exchange = None
         self.parse_error = None
+        # Whether input is discarded, because no further request is handled.
+        self.discarding = False
+        # Whether the caller closes the connection after its last request so far.
+        self.caller_closes = False
         self.discarded_bytes = 0
         self.task = None
         self.request_waiter = None
@@ -135,11 +169,11 @@
         """Start the task that handles requests."""
         self.transport = transport
         self.server.connections.add(self)
-        self.task = self.loop.create_task(self._run())
+        self._start_task()
 
     def data_received(self, data):
         """Parse received bytes and wake the task when a request is ready."""
-        if self.parse_error is not None:
+        if self.parse_error is not None or self.discarding:
             self.discarded_bytes += len(data)
             if self.discarded_bytes > MAX_DISCARDED_BYTES:
                 self.transport.abort()
@@ -162,7 +196,7 @@
         return False
 
     def connection_lost(self, exc):
-        """Fail the request body, wake a waiting sender and cancel the task."""
+        """Fail the request body, wake a waiting sender and cancel the tasks."""
         self.closed = True
         self.server.connections.discard(self)
         self.parser.fail(CallerGone("the caller closed its connection"))
@@ -172,6 +206,7 @@
             )
         if self.task is not None:
             self.task.cancel()
+        self.order.drop_all()
 
     def pause_writing(self):
         """Suspend senders in `drain`."""
@@ -182,6 +217,8 @@
         self.write_paused = False
         if self.drain_waiter is not None and not self.drain_waiter.done():
             self.drain_waiter.set_result(None)
+        self.order.wake_waiters()
+        self._wake_task()
 
     async def drain(self):
         """Wait until the transport accepts more data."""
@@ -198,18 +235,25 @@
         """Close immediately; buffered output may be lost."""
         self.transport.abort()
 
+    def reset(self):
+        """Close immediately, so that the caller gets a connection error."""
+        sock = self.transport.get_extra_info("socket")
+        if sock is not None and not self.closed:
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _LINGER_ZERO)
+        self.transport.abort()
+
+    @property
+    def busy(self):
+        """Whether requests are under way or wait to be handled."""
+        return bool(self.order.writers or self.pending_requests)
+
     def close_if_idle(self):
         """Close the connection if no request is active, partly received or unread.
 
         Closing a socket with unread input resets the connection. The caller would not
         know whether its request was executed.
         """
-        if (
-            self.current_exchange is None
-            and not self.pending_requests
-            and not self.parser.in_head
-            and not self._has_unread_input()
-        ):
+        if not self.busy and not self.parser.in_head and not self._has_unread_input():
             self.transport.close()
 
     def _has_unread_input(self):
@@ -222,7 +266,7 @@
 
     def close_if_overdue(self, now):
         """Close the connection if no complete head arrives within the time limit."""
-        if self.current_exchange is not None or self.pending_requests:
+        if self.busy:
             return
         limits = self.server.limits
         in_head = self.parser.in_head
@@ -233,6 +277,7 @@
 
     def _on_request(self, request):
         self.pending_requests.append(request)
+        self.caller_closes = not request.keep_alive
         self._wake_task()
 
     def _begin_early(self):
@@ -240,7 +285,7 @@
         request = self.pending_requests[0]
         idle = self.request_waiter is not None and self.begun_exchange is None
         if idle and request.body.ended:
-            self.begun_exchange = Exchange(self, request, self.server.draining)
+            self.begun_exchange = self._open_exchange(request)
             self.server.begin(request, self.begun_exchange)
 
     def _wake_task(self):
@@ -273,8 +318,14 @@
         return request.body.size if request is not None and request.body else 0
 
     async def _next_request(self):
-        while not self.pending_requests:
-            if self.parse_error is not None:
+        """Wait until the next request can start; return None if there will be none.
+
+        A request is pending until it starts, so that the connection is never idle in
+        between.
+        """
+        while not self._may_start_next():
+            ended = self.parse_error is not None and not self.pending_requests
+            if not self.order.writers and (ended or self.order.closing):
                 return None
             self.request_waiter = self.loop.create_future()
             try:
@@ -286,11 +337,47 @@
             self._update_reading()
         return request
 
+    def _may_start_next(self):
+        if not self.pending_requests:
+            return False
+        if self.server.runs_beside is None:
+            return True
+        if self.order.closing or self.write_paused:
+            # A caller that does not read gets no more responses, as in `_handle_next`.
+            return False
+        if not self.order.writers:
+            return True
+        return self.order.has_room() and self._runs_beside(self.pending_requests[0])
+
+    def _runs_beside(self, request):
+        """Return whether a request may run while others of the connection do.
+
+        One whose body is incomplete may not: its body could hold up the requests
+        behind it, or turn out to be invalid.
+        """
+        runs_beside = self.server.runs_beside
+        return runs_beside is not None and request.body.ended and runs_beside(request)
+
+    def _open_exchange(self, request):
+        exchange = Exchange(self.order.open(), request, self.server.draining)
+        if not exchange.keep_alive:
+            exchange.connection.end_connection()
+        return exchange
+
+    def _start_task(self):
+        self.task = self.loop.create_task(self._run())
+
+    def _is_current(self):
+        """Return whether the running task is the one that starts requests."""
+        return self.task is asyncio.current_task()
+
     async def _run(self):
         try:
             while await self._handle_next():
                 self.waiting_since = self.loop.time()
-            if self.parse_error is not None:
+                if not self._is_current():
+                    return
+            if self.parse_error is not None or self._expects_input():
                 await self._linger()
         except CallerGone:
             pass
@@ -298,23 +385,73 @@
             self._refuse(exc)
             await self._linger()
         finally:
-            if (
-                self.begun_exchange is not None
-                and self.begun_exchange.begin_result is not None
-            ):
-                self.begun_exchange.begin_result.cancel_pending()
-                self.begun_exchange = None
-            self.transport.close()
+            if self._is_current():
+                self._end()
+
+    def _end(self):
+        """Close the connection because no further request is handled."""
+        if (
+            self.begun_exchange is not None
+            and self.begun_exchange.begin_result is not None
+        ):
+            self.begun_exchange.begin_result.cancel_pending()
+            self.begun_exchange = None
+        if self.server.runs_beside is not None and self.order.closing:
+            self._count_dropped()
+        self.order.drop_all()
+        self.transport.close()
+
+    def _expects_input(self):
+        """Return whether pipelined requests may arrive behind the last response."""
+        return self.server.runs_beside is not None and not self.caller_closes
+
+    def _count_dropped(self):
+        """Count the requests behind a response that closes the connection."""
+        cancelled, unread = self.order.cancelled, len(self.pending_requests)
+        if cancelled or unread:
+            counters = self.server.counters
+            counters.add("pipelined_dropped", cancelled, state="cancelled")
+            counters.add("pipelined_dropped", unread, state="unread")
+            self.server.on_dropped(cancelled, unread)
 
     async def _handle_next(self):
-        """Handle one request; return whether the connection stays open."""
+        """Handle one request; return whether the connection stays open.
+
+        If the request runs beside others, another task starts the next ones, and the
+        calling task must end.
+        """
         request = await self._next_request()
         if request is None:
-            self._refuse(self.parse_error)
+            if not self.order.closing:
+                self._refuse(self.parse_error)
             return False
-        exchange = self.begun_exchange or Exchange(self, request, self.server.draining)
-        self.current_exchange = exchange
+        is_concurrent = bool(self.order.writers) and self.begun_exchange is None
+        exchange = self.begun_exchange or self._open_exchange(request)
         self.begun_exchange = None
+        if self._runs_beside(request):
+            if is_concurrent:
+                self.server.counters.add("pipelined_requests")
+            exchange.connection.task = self.task
+            self._start_task()
+            await self._respond(request, exchange)
+            request.body.take()
+            return True
+        await self._respond(request, exchange)
+        if request.body.ended:
+            # The body of a refused request was received but not read. It is dropped, so
+            # that the connection can stay open.
+            request.body.take()
+        if not request.body.exhausted:
+            await self._discard_body(request.body)
+            return False
+        if self.write_paused:
+            # This bounds the memory for a caller that sends requests but does not read
+            # the responses.
+            await self.drain()
+        return exchange.keep_alive
+
+    async def _respond(self, request, exchange):
+        """Run the handler and make sure that it leaves no incomplete response."""
         try:
             await self.server.handler(request, exchange)
         except CallerGone:
@@ -332,22 +469,10 @@
                 message = "the request failed by an error of the daemon"
                 exchange.answer(Refusal("internal-error", message, Outcome.UNKNOWN))
         finally:
-            self.current_exchange = None
             if not exchange.finished:
                 # The caller must not take a truncated response for a complete one.
-                self.transport.abort()
-        if request.body.ended:
-            # The body of a refused request was received but not read. It is dropped, so
-            # that the connection can stay open.
-            request.body.take()
-        if not request.body.exhausted:
-            await self._discard_body(request.body)
-            return False
-        if self.write_paused:
-            # This bounds the memory for a caller that sends requests but does not read
-            # the responses.
-            await self.drain()
-        return exchange.keep_alive
+                exchange.connection.abort(reset=False)
+            self.order.release(exchange.connection)
 
     async def _discard_body(self, body):
         """Read and discard the rest of a request body.
@@ -369,7 +494,9 @@
 
         See `_discard_body` for the reason.
         """
+        self.discarding = True
         if not self.closed and not self.transport.is_closing():
+            self._resume_reading()
             self.transport.write_eof()
             await asyncio.sleep(DISCARD_TIMEOUT_S)
 
@@ -377,6 +504,7 @@
         """Send a refusal for input that is not a valid request."""
         if self.closed or self.transport.is_closing():
             return
-        exchange = Exchange(self, None, True)
+        exchange = Exchange(self.order.open(), None, True)
         self.server.counters.add("refusals", code=error.code)
         exchange.refuse(error.code, str(error))
+        self.order.release(exchange.connection)
--- a/goldcresthoist/daemon/lifecycle.py
+++ b/goldcresthoist/daemon/lifecycle.py
@@ -193,7 +193,4 @@
 def _running_calls(daemon):
     """Return the number of calls at the upstream and of connections with requests."""
     callers = daemon.caller_server.connections
-    return daemon.server.running + sum(
-        connection.current_exchange is not None or bool(connection.pending_requests)
-        for connection in callers
-    )
+    return daemon.server.running + sum(connection.busy for connection in callers)
--- a/goldcresthoist/telemetry/_catalogue.py
+++ b/goldcresthoist/telemetry/_catalogue.py
@@ -61,6 +61,8 @@
     "answers_cut": "Answers cut off because the upstream's answer did not end.",
     "caller_input_errors": "Connections of callers ended for their input, by code.",
     "caller_connections_timed_out": "Connections of callers closed for being idle.",
+    "pipelined_requests": "Requests started beside earlier ones of their connection.",
+    "pipelined_dropped": "Pipelined requests behind a closing response, by state.",
     "datagrams_dropped": "Gossip datagrams that were forged, corrupt or replayed.",
     "gossip_bytes": "Bytes of gossip, by direction.",
     "upstreams_ejected": "Upstreams that are ejected after consecutive failures.",
