Pipeline repeatable requests of callers on the platform

Cause: loan-summary is sent pipelined, and its requests waited for each other. Change: the node lets requests run beside others by the routing table in force and the route: repeatable ones that are not downloads. It logs dropped requests and exposes the held bytes.

--- a/goldcresthoist/node/assembly.py
+++ b/goldcresthoist/node/assembly.py
@@ -173,7 +173,10 @@
         self.discovery = UpstreamDiscovery(
             self.own, self.server, self.registration, self.log
         )
-        self.caller_server = CallerServer(self.entry.handle, self.counters)
+        self.caller_server = CallerServer(
+            self.entry.handle, self.counters, runs_beside=self.entry.runs_beside
+        )
+        self.caller_server.on_dropped = self._log_dropped_requests
         self.announcement_server = CallerServer(
             self.announcements.handle, self.counters
         )
@@ -207,6 +210,7 @@
         self.counters.gauge("in_flight", lambda: self.server.queue.running)
         self.counters.gauge("queued", lambda: len(self.server.queue.waiting))
         self.counters.gauge("upstream_limit_per_s", self._upstream_limit)
+        self.counters.gauge("pipelined_held_bytes", self.caller_server.held_bytes)
         self.counters.gauge("transfer_bytes", lambda: self.transfers.used)
         self.counters.gauge("configuration_version", lambda: self.watch.version)
         self.counters.gauge(
@@ -298,6 +302,9 @@
     def _log_request_error(self, error):
         self.log.event("request failed", error=repr(error))
 
+    def _log_dropped_requests(self, cancelled, unread):
+        self.log.event("pipelined requests dropped", cancelled=cancelled, unread=unread)
+
     def _apply_table(self, table):
         """Apply the limits and the routes of a new configuration."""
         limits = table.limits
--- a/goldcresthoist/node/entry.py
+++ b/goldcresthoist/node/entry.py
@@ -74,6 +74,16 @@
         """The chooser to which `Attempt` reports the start and end of calls."""
         return self.services.chooser
 
+    def runs_beside(self, request):
+        """Return whether a request may run while others of its connection do.
+
+        Requests of a `Download` route run alone, although they may be repeated: one
+        that waits for its turn would keep its slot and its transfer memory.
+        """
+        table = self.watch.table
+        route = None if table is None else _matching_route(table, request)
+        return route is not None and route.repeatable and not route.large_responses
+
     async def handle(self, request, exchange):
         """Handle one request of a caller until its response is sent."""
         fields = parse_request_fields(request.headers)
@@ -83,8 +93,7 @@
                 exchange, 503, "not-ready", fields.request_id, NOT_READY_RETRY_S
             )
             return
-        path = request.target.partition("?")[0]
-        route = table.route_for(requested_host(request.headers), path)
+        route = _matching_route(table, request)
         if route is None:
             self.refuse(exchange, 404, "unknown-route", fields.request_id)
             return
@@ -161,3 +170,8 @@
         body = msgspec.json.encode({"code": code})
         headers = refusal_headers(request_id, retry_after_s)
         exchange.start(status, headers, body, True)
+
+
+def _matching_route(table, request):
+    path = request.target.partition("?")[0]
+    return table.route_for(requested_host(request.headers), path)
--- a/goldcresthoist/telemetry/_catalogue.py
+++ b/goldcresthoist/telemetry/_catalogue.py
@@ -63,6 +63,7 @@
     "caller_connections_timed_out": "Connections of callers closed for being idle.",
     "pipelined_requests": "Requests started beside earlier ones of their connection.",
     "pipelined_dropped": "Pipelined requests behind a closing response, by state.",
+    "pipelined_held_bytes": "Bytes of responses that wait for an earlier one.",
     "datagrams_dropped": "Gossip datagrams that were forged, corrupt or replayed.",
     "gossip_bytes": "Bytes of gossip, by direction.",
     "upstreams_ejected": "Upstreams that are ejected after consecutive failures.",
