--- a/goldcresthoist/callers/tests/builders.py
+++ b/goldcresthoist/callers/tests/builders.py
@@ -22,8 +22,9 @@
         self.ended_by = ""
 
     def write(self, data):
-        """Record written bytes."""
-        self.sent += data
+        """Record written bytes; a transport discards them after an abort."""
+        if not self.ended_by:
+            self.sent += data
 
     async def drain(self):
         """Return at once."""
--- a/goldcresthoist/callers/tests/test_pipeline.py
+++ b/goldcresthoist/callers/tests/test_pipeline.py
@@ -1,6 +1,7 @@
 """Tests of the order of pipelined responses, without a network."""
 
 import asyncio
+import random
 import unittest
 
 from goldcresthoist.callers.errors import CallerGone
@@ -107,11 +108,13 @@
         first, second, third = self.open(3)
         second.write(b"half")
         second.abort()
-        second.abort(reset=False)
         second.write(b"more")
-        self.order.release(second)
         self.assertTrue(third.dropped and second.closed)
         self.finish(first, b"1")
+        # A handler may end only after the turn of its response has come.
+        second.write(b"late")
+        second.abort(reset=False)
+        self.order.release(second)
         self.assertEqual((self.connection.sent, self.connection.ended_by), (b"1", ""))
         self.assertTrue(self.order.closing and not self.order.writers)
 
@@ -132,6 +135,49 @@
         self.assertTrue(all(task.cancelled for task in tasks))
         self.assertEqual((self.order.held_bytes, self.order.cancelled), (0, 0))
 
+    def test_random_orders_of_events(self):
+        """Guards against bytes of a response behind, or inside, another one.
+
+        Response n consists of the bytes n, and its last byte is n + 100.
+        """
+        for seed in range(500):
+            generator = random.Random(seed)
+            self.setUp()
+            writers = dict(enumerate(self.open(MAX_CONCURRENT_REQUESTS)))
+            while writers and not self.connection.ended_by:
+                number = generator.choice(list(writers))
+                writer = writers[number]
+                event = generator.choice(("write", "write", "finish", "close", "abort"))
+                if event == "abort" and generator.random() < 0.8:
+                    continue
+                if event == "write":
+                    writer.write(bytes([number]))
+                    continue
+                if event == "close":
+                    writer.end_connection()
+                if event == "abort":
+                    writer.abort()
+                    writer.write(b"late")
+                else:
+                    writer.write(bytes([number + 100]))
+                self.order.release(writers.pop(number))
+            with self.subTest(seed=seed):
+                self.check_sequence(list(self.connection.sent))
+                if not self.connection.ended_by:
+                    self.assertEqual(self.order.held_bytes, 0)
+
+    def check_sequence(self, sent):
+        """Check that complete responses follow each other in order.
+
+        Only the last one may be incomplete, after a reset.
+        """
+        number = 0
+        for index, byte in enumerate(sent):
+            self.assertIn(byte, (number, number + 100), (index, sent))
+            number += byte >= 100
+        if sent and sent[-1] < 100:
+            self.assertEqual(self.connection.ended_by, "reset")
+
 
 if __name__ == "__main__":
     unittest.main()
