--- a/goldcresthoist/telemetry/_catalogue.py
+++ b/goldcresthoist/telemetry/_catalogue.py
@@ -87,6 +87,8 @@
     "request_seconds": "Time from a request to its answer on the platform, by outcome.",
     "answers": "Errors of the daemon itself on the platform, by status, code.",
     "calls_refused": "Calls that the serving daemon refused, by code.",
+    "calls_evicted": "Waiting calls refused in favour of others, by reason.",
+    "workspace_accounts": "Workspaces with recent use at the local upstream.",
     "upstream_failures": "Calls that ended without a complete response, by kind.",
     "upstream_requests": "Requests sent to the local upstream, by kind.",
     "upstream_limit_per_s": "Limit that the local upstream names, -1 for none.",
