Limit the starts at an upstream that warms up

An upstream that is cold crashes under more requests than it bears, and the queue of its serving daemon knew only a limit that the upstream names.

Between two confirmations that the upstream is warm, only so many calls start as it bears when cold. SlotQueue consults it, serves waiting calls by priority and by turns between kinds of work meanwhile, and refuses at once what cannot start in time from its place.

--- a/goldcresthoist/balance/__init__.py
+++ b/goldcresthoist/balance/__init__.py
@@ -33,6 +33,7 @@
 from goldcresthoist.balance.subset import UpstreamSubset
 from goldcresthoist.balance.suspects import CrashSuspects, SuspectRecord
 from goldcresthoist.balance.views import Outcome, UpstreamPool, UpstreamView
+from goldcresthoist.balance.warm_up import WarmUp
 
 __all__ = [
     "Admission",
@@ -63,5 +64,6 @@
     "UpstreamPool",
     "UpstreamSubset",
     "UpstreamView",
+    "WarmUp",
     "get_policy",
 ]
--- a/goldcresthoist/balance/slots.py
+++ b/goldcresthoist/balance/slots.py
@@ -14,6 +14,7 @@
 from goldcresthoist.balance.knee import KneeDetector
 from goldcresthoist.balance.pace import PaceEstimator
 from goldcresthoist.balance.rate_limit import RateLimit
+from goldcresthoist.balance.warm_up import WarmUp
 
 __all__ = ["SlotCall", "SlotQueue"]
 
@@ -127,7 +128,8 @@
 
     Waiting calls are served by length (short work first), then priority, then age.
     Calls that can no longer meet their soft deadline rank below those that can, unless
-    their work is short.
+    their work is short. While the upstream warms up, waiting calls are served by
+    priority instead, and within a priority by turns between the kinds of work.
 
     Attributes
     ----------
@@ -148,6 +150,8 @@
         Detects whether the upstream slows down when nearly full.
     rate : RateLimit
         Limit that the upstream names on the calls that start in one second.
+    warm_up : WarmUp
+        Limit on the calls that start while the upstream warms up.
     request_pace : callable or None
         ``request_pace()`` requests a new pace sample from the upstream without waiting
         for it. Once the sample has been recorded, `dispatch` must be called. While
@@ -164,6 +168,10 @@
         self.pace = PaceEstimator()
         self.knee = KneeDetector()
         self.rate = RateLimit()
+        self.warm_up = WarmUp(0.0)
+        # Time of the last start while there is a limit for the warm-up, by kind of
+        # work.
+        self.last_start_at = {}
         self.running = 0
         self.waiting = []
         self.service_s = {}
@@ -217,16 +225,33 @@
             return limit
         return max(1, limit - int(RESERVED_SLOTS_SHARE * limit))
 
-    def usable_slots(self):
+    def start_rate(self, now):
+        """Return the calls that may start in one second; infinite without a limit."""
+        named = math.inf if self.rate.per_s is None else self.rate.per_s
+        return min(named, self.warm_up.rate(now))
+
+    def usable_slots(self, now):
         """Return the number of slots that are in use at the limit on the rate.
 
         It is at most `slots`, and at least 1.
         """
-        if self.rate.per_s is None:
+        rate = self.start_rate(now)
+        if rate == math.inf:
             return self.slots
-        in_use = math.ceil(self.rate.per_s * self.mean_service_s())
+        in_use = math.ceil(rate * self.mean_service_s())
         return max(1, min(self.slots, in_use))
 
+    def warm_up_pace(self, now):
+        """Return the pace at which calls end in the usable slots during a warm-up.
+
+        Short work could run more often in them than it may start. It is 0 when the
+        warm-up does not limit the calls.
+        """
+        rate = self.warm_up.rate(now)
+        if rate == math.inf:
+            return 0.0
+        return self.usable_slots(now) / (rate * self.mean_service_s())
+
     def expected_wait_s(self, call, now):
         """Return the expected queueing time of a new call, in seconds."""
         rank = self._rank(call, now)
@@ -268,12 +293,14 @@
                 limit = min(limit, max(1, int(NEARLY_FULL_SHARE * self.slots)))
             if self._too_slow_for(call, usual_s, now):
                 raise Saturated(MIN_RETRY_AFTER_S)
+        if self.warm_up.limits(now):
+            return self._admit_in_warm_up(call, usual_s, limit, now)
         paused = self._is_paused(now)
         ahead = self.waiting if not short else self._waiting_short_calls()
         if self.running < limit and not ahead and not paused:
             start = self._decide_start(usual_s, now)
             if start is _StartDecision.START:
-                self._take_slot(now)
+                self._take_slot(call, now)
                 return None
             if start is _StartDecision.WAIT and call.alternatives > 0:
                 raise Saturated(MIN_RETRY_AFTER_S)
@@ -375,7 +402,7 @@
             self.waiting.remove(waiter)
             if waiter.future.done():
                 continue
-            self._take_slot(now)
+            self._take_slot(call, now)
             waiter.future.set_result(None)
 
     def expire(self, now):
@@ -383,6 +410,10 @@
 
         It must be called regularly, since slow phases and pauses end without a release.
         """
+        if self.warm_up.limits(now):
+            self._expire_in_warm_up(now)
+            self.dispatch(now)
+            return
         for waiter in tuple(self.waiting):
             call = waiter.call
             usual_s = self.usual_s(call, now)
@@ -409,11 +440,103 @@
     def _is_paused(self, now):
         """Return whether no call may start now, whatever slots are free."""
         after_rejection = now < self.paused_until and self.running > 0
-        return after_rejection or self.rate.wait_s(now) > 0.0
+        return (
+            after_rejection
+            or self.rate.wait_s(now) > 0.0
+            or self.warm_up.wait_s(now) > 0.0
+        )
 
-    def _take_slot(self, now):
+    def _take_slot(self, call, now):
         self.running += 1
         self.rate.take(now)
+        if self.warm_up.per_s is not None:
+            self.warm_up.take(now)
+            self.last_start_at[call.work] = now
+
+    def _admit_in_warm_up(self, call, usual_s, limit, now):
+        """Behave as `admit` while the warm-up limits the calls.
+
+        A call that cannot start in time from its place among the waiting ones is
+        refused. When the queue is full, the last call in the order is.
+
+        Parameters
+        ----------
+        call : SlotCall
+        usual_s : float
+            Mean service time of the call's work.
+        limit : int
+            Number of running calls below which the call may start.
+        now : float
+        """
+        new = _Waiter(call, None, self.arrivals + 1, call.deadline)
+        order = self._fair_order((*self.waiting, new))
+        place = order.index(new)
+        wait_s = self._warm_up_wait_s(call, usual_s, place, limit, now)
+        if self._too_late_after(wait_s, call, usual_s, now):
+            raise Saturated(max(MIN_RETRY_AFTER_S, wait_s))
+        if place == 0 and self.running < limit and not self._is_paused(now):
+            start = self._decide_start(usual_s, now)
+            if start is _StartDecision.START:
+                self._take_slot(call, now)
+                return None
+            if start is _StartDecision.REFRESH_PACE or call.alternatives == 0:
+                return self._enqueue_and_request_pace(call, now)
+            raise Saturated(MIN_RETRY_AFTER_S)
+        if call.alternatives > 0:
+            raise Saturated(max(MIN_RETRY_AFTER_S, wait_s))
+        if len(self.waiting) >= QUEUE_PER_SLOT * self.slots:
+            last = order[-1]
+            after_all_s = self.warm_up.wait_s(now, len(self.waiting))
+            error = Saturated(max(MIN_RETRY_AFTER_S, after_all_s))
+            if last is new:
+                raise error
+            self._fail(last, error)
+        return self._enqueue(call, now)
+
+    def _warm_up_wait_s(self, call, usual_s, place, limit, now):
+        """Return the expected wait in seconds of a call with ``place`` calls before."""
+        wait_s = max(self.warm_up.wait_s(now, place), self.rate.wait_s(now, place))
+        busy = place - (limit - self.running)
+        if busy >= 0:
+            mean_s = self.mean_s or usual_s
+            slot_wait_s = (busy + 1) * mean_s * self.pace.base / max(1, self.slots)
+            wait_s = max(wait_s, slot_wait_s)
+        return wait_s
+
+    def _too_late_after(self, wait_s, call, usual_s, now):
+        """Return whether a call that waits this long ends after its deadline."""
+        end = now + wait_s + MIN_SERVICE_SHARE * usual_s * self.pace.base
+        return end > call.deadline
+
+    def _expire_in_warm_up(self, now):
+        """Refuse the waiting calls that cannot start in time from their places."""
+        place = 0
+        for waiter in self._fair_order(self.waiting):
+            call = waiter.call
+            usual_s = self.usual_s(call, now)
+            limit = self.limit_for(self.is_short(call.work))
+            wait_s = self._warm_up_wait_s(call, usual_s, place, limit, now)
+            if self._too_late_after(wait_s, call, usual_s, now):
+                self._fail(waiter, Saturated(max(MIN_RETRY_AFTER_S, wait_s)))
+            else:
+                place += 1
+
+    def _fair_order(self, waiters):
+        """Return waiting calls in the order in which they are served in a warm-up.
+
+        Priorities come first. Within a priority, the kinds of work take turns, from the
+        one that has started a call least recently, so that no work takes all starts.
+        """
+        turns = {}
+        keys = {}
+        for waiter in sorted(waiters, key=lambda item: item.order):
+            call = waiter.call
+            turn = turns[call.priority, call.work] = (
+                turns.get((call.priority, call.work), -1) + 1
+            )
+            last_at = self.last_start_at.get(call.work, -math.inf)
+            keys[waiter] = (call.priority, turn, last_at, waiter.order)
+        return sorted(keys, key=keys.get)
 
     def _too_slow_for(self, call, usual_s, now):
         """Return whether the upstream is too slow for the call to end in time.
@@ -429,10 +552,17 @@
         )
 
     def _decide_start(self, usual_s, now):
-        """Return whether work of this usual time may start at the current pace."""
+        """Return whether work of this usual time may start at the current pace.
+
+        The answer to a health check tells both the pace and whether the upstream is
+        warm. A cold upstream bears few requests, so calls there start at any pace.
+        """
         estimator = self.pace
+        if self.request_pace is not None and self.warm_up.needs_confirmation(now):
+            return _StartDecision.REFRESH_PACE
         if (
             self.request_pace is None
+            or self.warm_up.is_cold(now)
             or not estimator.known
             or now < self.pace_unavailable_until
         ):
@@ -478,6 +608,8 @@
         return (late and not short, 0 if short else 1, call.priority)
 
     def _next_waiter(self, now):
+        if self.warm_up.limits(now):
+            return self._fair_order(self.waiting)[0]
         return min(
             self.waiting, key=lambda item: (*self._rank(item.call, now), item.order)
         )
--- a/goldcresthoist/balance/tests/builders.py
+++ b/goldcresthoist/balance/tests/builders.py
@@ -2,7 +2,13 @@
 
 import random
 
-from goldcresthoist.balance import Chooser, Default, UpstreamPool, UpstreamView
+from goldcresthoist.balance import (
+    Chooser,
+    Default,
+    UpstreamPool,
+    UpstreamView,
+    WarmUp,
+)
 from goldcresthoist.config.model import (
     AtMostOnce,
     Read,
@@ -15,6 +21,8 @@
 SHORT = WorkRule("lookup", "GET", "/lookups", Read(), 0.005, 1.0, 1.0)
 BULK = WorkRule("scan", "GET", "/scans", Read(), 0.005, 1.0, 0.1)
 LONG = WorkRule("settle", "POST", "/settlements", AtMostOnce(), 0.1, 5.0, 5.0)
+# Requests a second that a cold upstream bears.
+PER_S = 7.5
 
 
 def make_configuration(work=(SHORT, BULK, LONG), **changes):
@@ -48,3 +56,16 @@
 def make_load(in_flight=0, queued=0, draining=False, at_ms=-1, failing=False):
     """Return a load report of an upstream with 12 slots."""
     return LoadReport(in_flight, queued, 12, 5, draining, at_ms, failing)
+
+
+def make_warm_up(limit=PER_S, started_at=0.0, warm_at=None):
+    """Return a `WarmUp` that has its limit and can make health checks.
+
+    The upstream is known to be warm from ``warm_at`` on, and the rate no longer rises.
+    """
+    warm_up = WarmUp(started_at)
+    warm_up.set_limit(limit, 1.5, 8.0, True, started_at)
+    if warm_at is not None:
+        warm_up.record_check(0.0, warm_at - 9.0, warm_at - 9.0)
+        warm_up.is_cold(warm_at)
+    return warm_up
--- a/goldcresthoist/node/serving.py
+++ b/goldcresthoist/node/serving.py
@@ -133,7 +133,7 @@
         return LoadReport(
             queue.running,
             len(queue.waiting),
-            queue.usable_slots(),
+            queue.usable_slots(now),
             round(queue.mean_service_s() * 1000),
             self.refusal_reason() is not None,
             clock_ms(now),
