Keep upstreams that warm up below the rate that they bear

The daemon sent a cold upstream as many calls as its slots took: 40 requests in a second, of 19.25 tolerated, in each of the three tests of node/tests/test_warm_up.py without a warm-up rate in the configuration.

The serving daemon now passes announcements, health checks, lost connections and the configured rate to WarmUp, makes the health checks that it asks for, and reports the lower capacity to the entry daemons. Calls that cannot start in time are refused with the code warming-up.

--- a/goldcresthoist/balance/__init__.py
+++ b/goldcresthoist/balance/__init__.py
@@ -21,6 +21,7 @@
     Draining,
     Saturated,
     UnknownPolicy,
+    WarmingUp,
 )
 from goldcresthoist.balance.health import UpstreamHealth
 from goldcresthoist.balance.hedging import HedgeTimer
@@ -65,5 +66,6 @@
     "UpstreamSubset",
     "UpstreamView",
     "WarmUp",
+    "WarmingUp",
     "get_policy",
 ]
--- a/goldcresthoist/balance/errors.py
+++ b/goldcresthoist/balance/errors.py
@@ -6,6 +6,7 @@
     "Draining",
     "Saturated",
     "UnknownPolicy",
+    "WarmingUp",
 ]
 
 
@@ -35,6 +36,10 @@
         self.retry_after_s = retry_after_s
 
 
+class WarmingUp(Saturated):
+    """The upstream warms up, and the call cannot start in time from its place."""
+
+
 class Draining(AdmissionRefused):
     """The upstream accepts no new calls because it is about to stop."""
 
--- a/goldcresthoist/balance/warm_up.py
+++ b/goldcresthoist/balance/warm_up.py
@@ -77,7 +77,7 @@
     ----------
     started_at : float
         Start of the daemon. The process before it is assumed to have used all that was
-        allowed until then.
+        allowed.
 
     Attributes
     ----------
@@ -94,7 +94,6 @@
     """
 
     def __init__(self, started_at):
-        self.started_at = started_at
         self.per_s = None
         self.can_check = False
         self.state = Presumed(started_at)
@@ -137,9 +136,9 @@
         if is_first:
             self._tokens = 0.0
             self._counted_at = now
-            if now - self.started_at < WINDOW_S:
-                used = [self.started_at] * self._window_limit
-                self._requests.extendleft(used)
+            # What was sent before the limit was known is not counted, so the window
+            # has room for a health check only.
+            self._requests.extend([now] * (self._window_limit - 1))
             self.on_change(self.state)
 
     def is_cold(self, now):
@@ -254,12 +253,21 @@
         else:
             self._confirm(sent_at, now)
 
-    def record_announcement(self, remaining_s, is_new_run, now):
+    def record_announcement(self, remaining_s, is_new_run, sent_at, now):
         """Record the remaining warm-up in an announcement; 0 when it gives none.
 
         A remaining time that a health check has stated is not shortened. The first
-        announcement of a run cannot end the warm-up, since it is sent before the
-        upstream has served anything.
+        announcement of a run does not end the warm-up, since one without a remaining
+        time cannot be told from that of an upstream that does not give it.
+
+        Parameters
+        ----------
+        remaining_s : float
+        is_new_run : bool
+            Whether it is the first announcement of its run.
+        sent_at : float
+            Time of its arrival, which may be before a pause of the daemon.
+        now : float
         """
         self._advance(now)
         until = now + remaining_s
@@ -276,7 +284,7 @@
             match self.state:
                 case Presumed(check_only=True) if self.can_check:
                     return
-            self._confirm(now - ANNOUNCEMENT_DELAY_S, now)
+            self._confirm(sent_at - ANNOUNCEMENT_DELAY_S, now)
 
     def presume(self, now, check_only=False):
         """Treat the upstream as cold until something says otherwise.
--- a/goldcresthoist/node/announcements.py
+++ b/goldcresthoist/node/announcements.py
@@ -92,6 +92,7 @@
             _respond(exchange, 200, b"{}")
 
     async def _handle_heartbeat(self, announcement):
+        arrived_at = monotonic() - self.server.pauses.input_age_s()
         if not self.registration.rows_loaded.is_set():
             await self._wait_for_departures()
         result = self.own.apply_announcement(announcement, monotonic())
@@ -110,6 +111,13 @@
                 draining=announcement.draining,
                 outcome=result.value,
             )
+        if result in (AnnouncementResult.KNOWN, AnnouncementResult.NEW):
+            self.server.queue.warm_up.record_announcement(
+                announcement.cold_s,
+                result is AnnouncementResult.NEW,
+                arrived_at,
+                monotonic(),
+            )
         if result is AnnouncementResult.DRAINING:
             await self._record_departure(announcement.identity, announcement.born_ms)
         if result in (
--- a/goldcresthoist/node/assembly.py
+++ b/goldcresthoist/node/assembly.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import hashlib
+import math
 import time
 
 import msgspec
@@ -207,6 +208,7 @@
         self.counters.gauge("in_flight", lambda: self.server.queue.running)
         self.counters.gauge("queued", lambda: len(self.server.queue.waiting))
         self.counters.gauge("upstream_limit_per_s", self._upstream_limit)
+        self.counters.gauge("warm_up_rate_per_s", self._start_rate)
         self.counters.gauge("transfer_bytes", lambda: self.transfers.used)
         self.counters.gauge("configuration_version", lambda: self.watch.version)
         self.counters.gauge(
@@ -249,9 +251,11 @@
         self.settings = settings
         self.services.set_bounds(settings.bounds)
         if settings.service == earlier.service:
+            self._apply_warm_up_limit()
             return
         self.log.event("service changed", was=earlier.service, now=settings.service)
         self.own.service = settings.service
+        self._apply_warm_up_limit()
         self.entry.caller_service = settings.service.encode()
         # The clock may have been set back since the last record.
         born_ms = max(int(time.time() * 1000), self.directory.own.born_ms + 1)
@@ -310,11 +314,23 @@
             )
         )
         self.services.discard_removed_routes(table)
+        self._apply_warm_up_limit()
         if self.own.usable() and not self.server.queue.pace.known:
             # The local upstream may have announced itself before the configuration with
             # its health path arrived, so that no probe could be sent then.
             self.server.probe.trigger()
 
+    def _apply_warm_up_limit(self):
+        table = self.watch.table
+        if table is not None:
+            limit = table.warm_up_limits.get(self.own.service)
+            bounds = self.settings.bounds
+            self.server.set_warm_up_limit(limit, bounds, bool(self._health_path()))
+
+    def _start_rate(self):
+        rate = self.server.queue.warm_up.rate(monotonic())
+        return -1.0 if rate == math.inf else rate
+
     def _count_unknown(self):
         return 0 if self.watch.table is None else len(self.watch.table.unknown)
 
--- a/goldcresthoist/node/call_execution.py
+++ b/goldcresthoist/node/call_execution.py
@@ -228,6 +228,10 @@
         fields = parse_response_fields(answer.headers)
         server.queue.pace.record(fields.pace, monotonic())
         server.update_limit(fields.limit_per_s)
+        if fields.warm_up_s is not None:
+            server.queue.warm_up.record_check(
+                fields.warm_up_s, self.started_at, monotonic()
+            )
         if fields.leaving:
             server.apply_leaving(*self.upstream_run)
         if fields.not_executed and self._refuse_if_not_run(answer, fields):
@@ -375,6 +379,7 @@
         if isinstance(error, UpstreamTimedOut):
             kind = FailureKind.TIMED_OUT
         elif self.connection is not None and self.connection.closed_by_peer:
+            server.queue.warm_up.presume(monotonic())
             if await server.pool.crashed(self.connection):
                 kind = FailureKind.CRASHED
                 count = server.record_crash(call.open)
--- a/goldcresthoist/node/pace_probe.py
+++ b/goldcresthoist/node/pace_probe.py
@@ -77,6 +77,10 @@
         await asyncio.sleep(max(0.0, self.last_probe_at + MIN_INTERVAL_S - monotonic()))
         self.last_probe_at = monotonic()
         queue = self.server.queue
+        if not queue.warm_up.may_check(monotonic()):
+            # Calls to a cold upstream start at any pace, so none waits for the probe.
+            queue.dispatch(monotonic())
+            return
         path = self.health_path()
         if not path:
             # No configuration has arrived yet, or it does not contain the service.
@@ -84,7 +88,8 @@
             queue.dispatch(monotonic())
             return
         pace, reason = await self._ask(path)
-        if pace <= 0.0 and not self.failures:
+        is_cold = queue.warm_up.is_cold(monotonic())
+        if pace <= 0.0 and not self.failures and not is_cold:
             pace, reason = await self._ask(path)
         now = monotonic()
         if pace > 0.0:
@@ -137,6 +142,21 @@
         UpstreamError, OSError, RuntimeError
             When there is no complete response.
         """
+        warm_up = self.server.queue.warm_up
+        sent_at = monotonic()
+        warm_up.record_check_sent(sent_at)
+        remaining_s = None
+        try:
+            answer = await self._fetch(path)
+            remaining_s = _remaining_warm_up_s(answer)
+            return answer
+        finally:
+            if remaining_s is None:
+                warm_up.record_check_failed(monotonic())
+            else:
+                warm_up.record_check(remaining_s, sent_at, monotonic())
+
+    async def _fetch(self, path):
         pool = self.server.pool
         connection = acquire_recent_idle(pool, MAX_IDLE_S) or await pool.acquire()
         try:
@@ -152,3 +172,15 @@
             return answer
         finally:
             pool.release(connection)
+
+
+def _remaining_warm_up_s(answer):
+    """Return the remaining warm-up that a response to a health check states.
+
+    It is 0 when a response of an upstream does not name it, and None when nothing shows
+    that an upstream has responded.
+    """
+    fields = parse_response_fields(answer.headers)
+    if fields.warm_up_s is not None:
+        return fields.warm_up_s
+    return 0.0 if answer.status == 200 or fields.slots >= 0 else None
--- a/goldcresthoist/node/serving.py
+++ b/goldcresthoist/node/serving.py
@@ -8,6 +8,8 @@
     SlotCall,
     SlotQueue,
     SuspectRecord,
+    WarmingUp,
+    WarmUp,
 )
 from goldcresthoist.balance._report_delay import clock_ms
 from goldcresthoist.balance.suspects import SUSPECT_EXPIRY_S
@@ -86,6 +88,8 @@
         self.pauses = pauses
         self.queue = SlotQueue()
         self.queue.on_knee_verdict = self._on_local_knee_verdict
+        self.queue.warm_up = WarmUp(monotonic())
+        self.queue.warm_up.on_change = self._on_warm_up_change
         self.probe = PaceProbe(self, counters, log)
         self.queue.request_pace = self.probe.trigger
         self.limit_per_s = None
@@ -130,6 +134,10 @@
         if self.own.is_warming_up(now):
             # Some upstreams include the warm-up in their pace.
             pace = max(pace, WARM_UP_PACE)
+        pace_time = gauge.pace_time
+        if queue.warm_up.limits(now):
+            pace = max(pace, queue.warm_up_pace(now))
+            pace_time = now
         return LoadReport(
             queue.running,
             len(queue.waiting),
@@ -139,7 +147,7 @@
             clock_ms(now),
             False,
             round(pace, 2),
-            min(60_000, int((now - gauge.pace_time) * 1000)),
+            min(60_000, int((now - pace_time) * 1000)),
             round(self.failure_share(now), 2),
         )
 
@@ -156,6 +164,25 @@
         self.queue.rate.set(limit_per_s, monotonic())
         self.announce_load()
 
+    def set_warm_up_limit(self, limit, bounds, can_check):
+        """Set the load that the local upstream bears while it warms up.
+
+        Parameters
+        ----------
+        limit : WarmUpLimit or None
+        bounds : Bounds
+        can_check : bool
+            Whether the configuration has a health check for the service.
+        """
+        per_s = None if limit is None else limit.per_s
+        self.queue.warm_up.set_limit(
+            per_s,
+            bounds.warm_up_share,
+            bounds.warm_up_reserve,
+            can_check,
+            monotonic(),
+        )
+
     def apply_leaving(self, identity, born_ms):
         """Apply a response in which a run of the local upstream states that it leaves.
 
@@ -382,11 +409,20 @@
         match error:
             case Draining():
                 self._refuse(call, "draining", 0.0)
+            case WarmingUp():
+                self._refuse(call, "warming-up", error.retry_after_s)
             case _:
                 self._refuse(call, "saturated", error.retry_after_s)
 
     def _on_pool_change(self):
         self.log.event("upstream connection", down=self.pool.down)
+        self.queue.warm_up.presume(monotonic())
+        self.announce_load()
+
+    def _on_warm_up_change(self, state):
+        name = type(state).__name__.lower()
+        self.counters.add("warm_up_changes", state=name)
+        self.log.event("warm-up", state=name, per_s=self.queue.warm_up.per_s)
         self.announce_load()
 
     def add_knee_verdict(self, verdict):
@@ -438,5 +474,8 @@
     async def _expire(self):
         while True:
             await asyncio.sleep(EXPIRY_INTERVAL_S)
+            now = monotonic()
             if self.queue.waiting:
-                self.queue.expire(monotonic())
+                self.queue.expire(now)
+            if self.queue.warm_up.check_due(now) and self.refusal_reason() is None:
+                self.probe.trigger()
