Refuse calls to the upstreams of drained failure domains

A row op/evacuate/ZONE had no effect: all reads of the new test test_domain_is_drained_and_taken_back went on to the drained upstreams.

Watchers of the store read these rows with the configuration and report the set and its revision in each version report; the newest revision wins, and reports of earlier releases change nothing. A serving daemon in a drained domain refuses new and waiting calls with the reason drained-domain, sends no health checks and says so in its load reports; running calls end. Afterwards its upstream counts as warming up until a health check says otherwise.

After a restart without the store the set is learned from the reports of the others.

--- a/goldcresthoist/fleet/configuration.py
+++ b/goldcresthoist/fleet/configuration.py
@@ -10,6 +10,7 @@
 from dataclasses import dataclass
 
 from goldcresthoist.clock import monotonic
+from goldcresthoist.fleet.drained_domains import DrainedDomains
 from goldcresthoist.fleet.messages import VersionNotice, VersionReport
 from goldcresthoist.links.errors import LinkError
 from goldcresthoist.links.frames import ConfigurationContent
@@ -112,6 +113,7 @@
     cursor : int or None
         Version of the store up to which its changes have been processed; None when the
         rows have to be read again.
+    drained : DrainedDomains
     on_routing_table : callable or None
         Called with each new `RoutingTable`.
     on_store_recovered : callable or None
@@ -155,6 +157,7 @@
         self.newest_malformed = False
         self.cursor = None
         self.reports = {}
+        self.drained = DrainedDomains()
         self.newer_known_since = None
         self.shortfall_since = None
         self.failures = 0
@@ -284,8 +287,9 @@
         StoreError, PlatformFormatError
             When the store did not respond as expected.
         """
+        is_complete = self.cursor is None or self.table is None
         try:
-            if self.cursor is None or self.table is None:
+            if is_complete:
                 page = await self.store.rows(CONFIGURATION_TABLE, CONFIGURATION_KEY)
             else:
                 page = await self.store.wait_for_changes(
@@ -299,11 +303,11 @@
             self.log.event("store regained", failures=self.failures)
             if self.on_store_recovered is not None:
                 self.on_store_recovered()
-        await self._process_page(page)
+        await self._process_page(page, is_complete)
 
-    async def _process_page(self, page):
+    async def _process_page(self, page, is_complete=False):
         self.cursor = max(page.version, self.cursor or 0)
-        self.watched_at = self._apply_page(page)
+        self.watched_at = self._apply_page(page, is_complete)
         if page.rows:
             self._send_version_report()
             await asyncio.sleep(CHANGE_BATCH_S)
@@ -312,8 +316,15 @@
             # would be requested in a loop.
             await asyncio.sleep(CHANGE_BATCH_S)
 
-    def _apply_page(self, page):
-        """Put the newest configuration in force; return the time of the response."""
+    def _apply_page(self, page, is_complete):
+        """Put the newest configuration in force; return the time of the response.
+
+        ``is_complete`` tells whether the page has all rows, and not changes only.
+        """
+        if is_complete:
+            self.drained.apply_rows(page)
+        else:
+            self.drained.apply_changes(page)
         for row in page.rows:
             if row.key == CONFIGURATION_KEY and not row.removed:
                 self.newest_malformed = not self._apply(row.value)
@@ -368,7 +379,12 @@
     def _send_version_report(self):
         own = self.directory.own.ip
         report = VersionReport(
-            own, self.version, self._age_ms(), _age_ms(self.watched_at)
+            own,
+            self.version,
+            self._age_ms(),
+            _age_ms(self.watched_at),
+            self.drained.revision,
+            tuple(sorted(self.drained.domains)),
         )
         self.directory.channel.send(report, self.directory.other_addresses())
 
@@ -388,6 +404,7 @@
             watched_at = sent_at - message.watch_age_ms / 1000.0
         watched_at = max(watched_at, confirmed_at)
         self.reports[message.ip] = _WatcherReport(now, watched_at)
+        self.drained.merge(message.drained_domains, message.domains_revision)
         if message.version == self.version:
             self.confirmed_at = max(self.confirmed_at, confirmed_at)
         elif message.version > self.version and now - confirmed_at < REPORT_VALIDITY_S:
@@ -451,7 +468,7 @@
         except (StoreError, PlatformFormatError) as exc:
             self.log.event("configuration not read", version=version, error=str(exc))
         else:
-            self._apply_page(page)
+            self._apply_page(page, True)
 
     async def _fetch_from(self, ip, version):
         """Fetch the configuration of a daemon; one older than ``version`` is dropped.
--- a/goldcresthoist/fleet/messages.py
+++ b/goldcresthoist/fleet/messages.py
@@ -60,12 +60,17 @@
     newest; -1 when the store has not confirmed it yet. ``watch_age_ms`` is the time
     since the store last responded, which is less while the newest version is malformed;
     -1 when it has not, or when the sender runs an earlier release.
+
+    ``drained_domains`` and ``domains_revision`` are those of `DrainedDomains`. The
+    revision is -1 when the sender knows no set or runs an earlier release.
     """
 
     ip: str
     version: int
     age_ms: int
     watch_age_ms: int = -1
+    domains_revision: int = -1
+    drained_domains: tuple[str, ...] = ()
 
 
 class MemberAnnouncement(msgspec.Struct, frozen=True, array_like=True, tag=2):
--- a/goldcresthoist/fleet/tests/builders.py
+++ b/goldcresthoist/fleet/tests/builders.py
@@ -5,7 +5,14 @@
 from goldcresthoist.fleet.messages import MemberRecord, RosterRequest
 from goldcresthoist.platform import Row, RowPage, WriteConflict
 
-__all__ = ["FakeChannel", "FakeCounters", "FakeLog", "FakeStore", "make_record"]
+__all__ = [
+    "FakeChannel",
+    "FakeCounters",
+    "FakeLog",
+    "FakeStore",
+    "make_drain_row",
+    "make_record",
+]
 
 # Largest number of rows in one page of the fake store.
 PAGE_ROWS = 10
@@ -109,3 +116,8 @@
     def total(self, name):
         """Return the sum of a counter."""
         return self.counts[name]
+
+
+def make_drain_row(domain, version, value=b"{}", removed=False):
+    """Return the row that drains a failure domain, or its removal."""
+    return Row(f"evacuate/{domain}", b"" if removed else value, version, removed)
--- a/goldcresthoist/node/assembly.py
+++ b/goldcresthoist/node/assembly.py
@@ -187,6 +187,7 @@
         self.directory.on_member = self.services.add_member
         self.directory.on_member_left = self.services.remove_member
         self.watch.on_routing_table = self._apply_table
+        self.watch.drained.on_change = self._apply_drained_domains
         self.watch.on_store_recovered = self.registration.store_recovered
         self.server.configuration_content = self.watch.current_content
         self.server.probe.health_path = self._health_path
@@ -208,6 +209,8 @@
         self.counters.gauge("in_flight", lambda: self.server.queue.running)
         self.counters.gauge("queued", lambda: len(self.server.queue.waiting))
         self.counters.gauge("upstream_limit_per_s", self._upstream_limit)
+        self.counters.gauge("drained_domains", lambda: len(self.watch.drained.domains))
+        self.counters.gauge("domain_drained", lambda: int(self.server.domain_drained))
         self.counters.gauge("warm_up_rate_per_s", self._start_rate)
         self.counters.gauge("transfer_bytes", lambda: self.transfers.used)
         self.counters.gauge("configuration_version", lambda: self.watch.version)
@@ -327,6 +330,15 @@
             bounds = self.settings.bounds
             self.server.set_warm_up_limit(limit, bounds, bool(self._health_path()))
 
+    def _apply_drained_domains(self):
+        domains = self.watch.drained.domains
+        self.log.event(
+            "drained failure domains",
+            domains=sorted(domains),
+            revision=self.watch.drained.revision,
+        )
+        self.server.set_domain_drained(self.settings.failure_domain in domains)
+
     def _start_rate(self):
         rate = self.server.queue.warm_up.rate(monotonic())
         return -1.0 if rate == math.inf else rate
--- a/goldcresthoist/node/discovery.py
+++ b/goldcresthoist/node/discovery.py
@@ -86,6 +86,8 @@
 
     async def _ask(self, path):
         """Return the `ResponseFields` of a good health check, or None."""
+        if self.server.domain_drained:
+            return None
         try:
             async with asyncio.timeout(TIMEOUT_S):
                 answer = await self.server.probe.fetch(path)
--- a/goldcresthoist/node/pace_probe.py
+++ b/goldcresthoist/node/pace_probe.py
@@ -77,7 +77,7 @@
         await asyncio.sleep(max(0.0, self.last_probe_at + MIN_INTERVAL_S - monotonic()))
         self.last_probe_at = monotonic()
         queue = self.server.queue
-        if not queue.warm_up.may_check(monotonic()):
+        if self.server.domain_drained or not queue.warm_up.may_check(monotonic()):
             # Calls to a cold upstream start at any pace, so none waits for the probe.
             queue.dispatch(monotonic())
             return
--- a/goldcresthoist/node/serving.py
+++ b/goldcresthoist/node/serving.py
@@ -70,6 +70,9 @@
         Fetches the pace of the local upstream when the queue requests it.
     limit_per_s : float or None
         Requests a second that the local upstream takes, as it names in its responses.
+    domain_drained : bool
+        Whether the operator wants nothing to be sent to the upstreams of this failure
+        domain.
     draining : bool
         Whether this daemon is stopping and refuses all calls. The local upstream may
         drain separately; see `LocalUpstream.leaving`.
@@ -93,6 +96,7 @@
         self.probe = PaceProbe(self, counters, log)
         self.queue.request_pace = self.probe.trigger
         self.limit_per_s = None
+        self.domain_drained = False
         self.draining = False
         # `StopDeadlines` while the daemon stops.
         self.stop = None
@@ -214,6 +218,8 @@
         """Return the code with which all calls are currently refused, or None."""
         if self.draining or self.own.leaving:
             return "draining"
+        if self.domain_drained:
+            return "drained-domain"
         if not self.own.usable():
             return "not-ready"
         if self.pool.down:
@@ -230,7 +236,7 @@
             a rejected identity; see `AnnouncementResult`.
         """
         if is_new:
-            self.queue.draining = False
+            self.queue.draining = self.domain_drained
             self.update_limit(None)
             self._close_idle_connections()
             # The pace must be known before the first calls, or they may start in a slow
@@ -244,6 +250,29 @@
             self.announced_reason = state
             self.announce_load()
 
+    def set_domain_drained(self, drained):
+        """Refuse new and queued calls from now on, or take calls again.
+
+        Running calls continue. The upstream may have become cold while it got none, so
+        afterwards it counts as warming up until a health check says otherwise.
+        """
+        if drained == self.domain_drained:
+            return
+        self.domain_drained = drained
+        self.counters.add("domain_drains", drained=str(drained).lower())
+        self.log.event(
+            "failure domain drained" if drained else "failure domain in use",
+            running=self.queue.running,
+            queued=len(self.queue.waiting),
+        )
+        if drained:
+            self.queue.drain()
+        else:
+            self.queue.draining = self.draining or self.own.leaving
+            self.queue.warm_up.presume(monotonic(), check_only=True)
+        self.announced_reason = self.refusal_reason()
+        self.announce_load()
+
     def start_stopping(self, stop):
         """Refuse calls from now on as these `StopDeadlines` say."""
         self.stop = stop
@@ -408,7 +437,8 @@
     def _refuse_admission(self, call, error):
         match error:
             case Draining():
-                self._refuse(call, "draining", 0.0)
+                drained = self.refusal_reason() == "drained-domain"
+                self._refuse(call, "drained-domain" if drained else "draining", 0.0)
             case WarmingUp():
                 self._refuse(call, "warming-up", error.retry_after_s)
             case _:
--- a/goldcresthoist/node/tests/loopback_cluster.py
+++ b/goldcresthoist/node/tests/loopback_cluster.py
@@ -101,6 +101,8 @@
     ----------
     services : list of str
         Service of each upstream; each gets an instance and a serving daemon of its own.
+    domains : str
+        Failure domain of each instance, one letter each; "a" for those without one.
 
     Attributes
     ----------
@@ -112,10 +114,11 @@
         `PlatformTarget` that stands in for the upstream, by address.
     """
 
-    def __init__(self, services):
+    def __init__(self, services, domains=""):
         network = f"127.{_SECOND_OCTET}.{next(_third_octets) % 250}"
         self.ips = [f"{network}.{number + 10}" for number in range(len(services))]
         self.services = services
+        self.domains = dict(zip(self.ips, domains))
         self.store = PlatformStore()
         self.store_host = f"{network}.2"
         self.nodes = {}
@@ -151,7 +154,8 @@
 
     async def start_node(self, ip, service):
         """Start a daemon and return its `Node`."""
-        text = settings_text(ip, service, f"{self.store_host}:{STORE_PORT}")
+        store = f"{self.store_host}:{STORE_PORT}"
+        text = settings_text(ip, service, store, self.domains.get(ip, "a"))
         node = self.nodes[ip] = Node(NodeSettings.from_text(text))
         node.log.descriptor = -1
         await node.listen()
--- a/goldcresthoist/platform/__init__.py
+++ b/goldcresthoist/platform/__init__.py
@@ -17,6 +17,7 @@
     CONFIGURATION_TABLE,
     DRAINED_DOMAIN_PREFIX,
     decode_configuration,
+    decode_drained_domain,
 )
 from goldcresthoist.platform.errors import (
     HistoryGone,
@@ -55,5 +56,6 @@
     "decode_announcement",
     "decode_configuration",
     "decode_departure",
+    "decode_drained_domain",
     "parse_announcement_path",
 ]
--- a/goldcresthoist/platform/configuration.py
+++ b/goldcresthoist/platform/configuration.py
@@ -28,12 +28,14 @@
     "CONFIGURATION_TABLE",
     "DRAINED_DOMAIN_PREFIX",
     "decode_configuration",
+    "decode_drained_domain",
 ]
 
 CONFIGURATION_TABLE = "op"
 CONFIGURATION_KEY = "config"
 # Keys of the rows that drain a failure domain, which is named after the prefix.
 DRAINED_DOMAIN_PREFIX = "evacuate/"
+MAX_DOMAIN_CHARS = 200
 
 _KINDS = {
     "idempotent": Idempotent(),
@@ -135,6 +137,22 @@
     )
 
 
+def decode_drained_domain(row):
+    """Return the failure domain that a row drains.
+
+    None when its key is that of another row, or when the name in it or the value is
+    malformed. The value is an object whose fields have no meaning yet.
+    """
+    domain = row.key.removeprefix(DRAINED_DOMAIN_PREFIX)
+    if domain == row.key or not 0 < len(domain) <= MAX_DOMAIN_CHARS:
+        return None
+    try:
+        msgspec.json.decode(row.value, type=dict)
+    except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError):
+        return None
+    return domain
+
+
 def _workspaces(tenants):
     """Return the `WorkspaceDirectory`, or None when there are no workspaces."""
     if not tenants:
--- a/goldcresthoist/tests/standins/platform_store.py
+++ b/goldcresthoist/tests/standins/platform_store.py
@@ -53,6 +53,11 @@
         self.version += 1
         self.rows[(table, key)] = (value, self.version, False)
 
+    def remove(self, table, key):
+        """Remove a row as an operator does; the change feed shows its removal."""
+        self.version += 1
+        self.rows[(table, key)] = ("", self.version, True)
+
     def silence_connections(self):
         """Let all open connections deliver nothing any more; new ones work."""
         self.silenced |= self.transports
