Show warm-up and drained domains in the status; test restarts of all

The status of a daemon named neither, so that an operator could not see whether a drain was in force there.

--- a/goldcresthoist/balance/tests/test_warm_up.py
+++ b/goldcresthoist/balance/tests/test_warm_up.py
@@ -146,6 +146,18 @@
         self.assertGreater(len(times), 0.8 * PER_S * 10)
         self.assertLess(largest_second(times), TOLERATED)
 
+    def test_newer_configuration_applies_at_once(self):
+        """Guards against a daemon that keeps the limit of an older configuration."""
+        warm_up = make_warm_up()
+        warm_up.record_check(60.0, 50.0, 50.0)
+        times = start_all(warm_up, 50.0, 52.0, lambda now: 50.0)
+        warm_up.set_limit(PER_S / 3, 1.5, 0.0, True, 52.0)
+        lower = start_all(warm_up, 52.0, 55.0, lambda now: 50.0)
+        self.assertLessEqual(largest_second(lower), 1.5 * PER_S / 3 + 1)
+        self.assertGreater(len(times), 2 * len(lower) - 2)
+        warm_up.set_limit(None, 1.5, 8.0, True, 55.0)
+        self.assertEqual(warm_up.wait_s(55.0), 0.0)
+
     def test_without_a_limit_nothing_waits(self):
         """Guards against a limit where the configuration has none."""
         warm_up = make_warm_up(limit=None)
--- a/goldcresthoist/node/status.py
+++ b/goldcresthoist/node/status.py
@@ -23,6 +23,11 @@
         Kinds and fields of the configuration that this release does not know.
     upstream_state : str
         "usable", or the reason for which calls are refused.
+    warm_up : str
+        What is known of the warm-up of the upstream: "warm", "rising" just after it,
+        "stated" or "presumed"; "not limited" without a limit in the configuration.
+    drained_domains : tuple of str
+        Failure domains that the operator drains.
     """
 
     instance: str
@@ -37,6 +42,8 @@
     members: int
     upstream: str
     upstream_state: str
+    warm_up: str
+    drained_domains: tuple[str, ...]
     in_flight: int
     queued: int
     slots: int
@@ -63,6 +70,8 @@
             members=len(node.directory.members),
             upstream=node.own.identity or "",
             upstream_state=node.server.refusal_reason() or "usable",
+            warm_up=_warm_up(queue.warm_up),
+            drained_domains=tuple(sorted(watch.drained.domains)),
             in_flight=queue.running,
             queued=len(queue.waiting),
             slots=queue.slots,
@@ -78,3 +87,10 @@
                 value = ", ".join(value) or "nothing"
             lines.append(f"{name.replace('_', ' ')}: {value}\n")
         return "".join(lines)
+
+
+def _warm_up(warm_up):
+    if warm_up.per_s is None:
+        return "not limited"
+    warm_up.is_cold(monotonic())
+    return type(warm_up.state).__name__.lower()
--- a/goldcresthoist/node/tests/test_warm_up.py
+++ b/goldcresthoist/node/tests/test_warm_up.py
@@ -85,6 +85,19 @@
         self.assertLess(self.worst_second(since), TOLERATED)
         self.assertGreater(len(self.target.runs), 2 * PER_S)
 
+    async def test_all_daemons_restart_beside_a_cold_upstream(self):
+        """Guards against a restart of the fleet that crashes what warms up."""
+        since = monotonic()
+        self.target.cold_until = since + 5.0
+        await self.call_for(1.0)
+        for ip in self.cluster.ips:
+            await self.cluster.stop_node(ip)
+        for ip, service in zip(self.cluster.ips, self.cluster.services):
+            await self.cluster.start_node(ip, service)
+        await self.call_for(self.target.cold_until - monotonic())
+        self.assertLess(self.worst_second(since), TOLERATED)
+        self.assertGreater(len(self.target.runs), 1.5 * PER_S)
+
     async def test_upstream_crashes_and_starts_cold(self):
         """Guards against calls at full rate to an upstream that has just restarted."""
         await self.call_for(0.3)
