--- a/goldcresthoist/balance/__init__.py
+++ b/goldcresthoist/balance/__init__.py
@@ -22,6 +22,7 @@
     InvalidHedgeShare,
     Saturated,
     UnknownPolicy,
+    WarmingUp,
 )
 from goldcresthoist.balance.health import UpstreamHealth
 from goldcresthoist.balance.hedge_limit import (
@@ -41,6 +42,7 @@
 from goldcresthoist.balance.subset import UpstreamSubset
 from goldcresthoist.balance.suspects import CrashSuspects, SuspectRecord
 from goldcresthoist.balance.views import Outcome, UpstreamPool, UpstreamView
+from goldcresthoist.balance.warm_up import WarmUp
 
 __all__ = [
     "Admission",
@@ -75,6 +77,8 @@
     "UpstreamPool",
     "UpstreamSubset",
     "UpstreamView",
+    "WarmUp",
+    "WarmingUp",
     "aim_delay_s",
     "get_policy",
 ]
--- a/goldcresthoist/node/assembly.py
+++ b/goldcresthoist/node/assembly.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import hashlib
+import math
 import time
 
 import msgspec
@@ -197,6 +198,7 @@
         self.directory.on_member = self.services.add_member
         self.directory.on_member_left = self.services.remove_member
         self.watch.on_routing_table = self._apply_table
+        self.watch.drained.on_change = self._apply_drained_domains
         self.watch.on_store_recovered = self.registration.store_recovered
         self.server.configuration_content = self.watch.current_content
         self.server.probe.health_path = self._health_path
@@ -224,6 +226,9 @@
         self.counters.gauge("upstream_limit_per_s", self._upstream_limit)
         self.counters.gauge("hedge_share", lambda: self.hedge_settings.share)
         self.counters.gauge("pipelined_held_bytes", self.caller_server.held_bytes)
+        self.counters.gauge("drained_domains", lambda: len(self.watch.drained.domains))
+        self.counters.gauge("domain_drained", lambda: int(self.server.domain_drained))
+        self.counters.gauge("warm_up_rate_per_s", self._start_rate)
         self.counters.gauge("transfer_bytes", lambda: self.transfers.used)
         self.counters.gauge("configuration_version", lambda: self.watch.version)
         self.counters.gauge(
@@ -266,9 +271,11 @@
         self.settings = settings
         self.services.set_bounds(settings.bounds)
         if settings.service == earlier.service:
+            self._apply_warm_up_limit()
             return
         self.log.event("service changed", was=earlier.service, now=settings.service)
         self.own.service = settings.service
+        self._apply_warm_up_limit()
         self.entry.caller_service = settings.service.encode()
         # The clock may have been set back since the last record.
         born_ms = max(int(time.time() * 1000), self.directory.own.born_ms + 1)
@@ -331,11 +338,32 @@
         )
         self.services.discard_removed_routes(table)
         self.hedging.keep_routes({route.name for route in table.routes})
+        self._apply_warm_up_limit()
         if self.own.usable() and not self.server.queue.pace.known:
             # The local upstream may have announced itself before the configuration with
             # its health path arrived, so that no probe could be sent then.
             self.server.probe.trigger()
 
+    def _apply_warm_up_limit(self):
+        table = self.watch.table
+        if table is not None:
+            limit = table.warm_up_limits.get(self.own.service)
+            bounds = self.settings.bounds
+            self.server.set_warm_up_limit(limit, bounds, bool(self._health_path()))
+
+    def _apply_drained_domains(self):
+        domains = self.watch.drained.domains
+        self.log.event(
+            "drained failure domains",
+            domains=sorted(domains),
+            revision=self.watch.drained.revision,
+        )
+        self.server.set_domain_drained(self.settings.failure_domain in domains)
+
+    def _start_rate(self):
+        rate = self.server.queue.warm_up.rate(monotonic())
+        return -1.0 if rate == math.inf else rate
+
     def _count_unknown(self):
         return 0 if self.watch.table is None else len(self.watch.table.unknown)
 
--- a/goldcresthoist/node/serving.py
+++ b/goldcresthoist/node/serving.py
@@ -8,6 +8,8 @@
     SlotCall,
     SlotQueue,
     SuspectRecord,
+    WarmingUp,
+    WarmUp,
 )
 from goldcresthoist.balance._report_delay import clock_ms
 from goldcresthoist.balance.suspects import SUSPECT_EXPIRY_S
@@ -71,6 +73,9 @@
         Fetches the pace of the local upstream when the queue requests it.
     limit_per_s : float or None
         Requests a second that the local upstream takes, as it names in its responses.
+    domain_drained : bool
+        Whether the operator wants nothing to be sent to the upstreams of this failure
+        domain.
     draining : bool
         Whether this daemon is stopping and refuses all calls. The local upstream may
         drain separately; see `LocalUpstream.leaving`.
@@ -90,9 +95,12 @@
         self.queue = SlotQueue()
         self.queue.on_knee_verdict = self._on_local_knee_verdict
         self.scheduling = SchedulingReport(self.queue, counters, log)
+        self.queue.warm_up = WarmUp(monotonic())
+        self.queue.warm_up.on_change = self._on_warm_up_change
         self.probe = PaceProbe(self, counters, log)
         self.queue.request_pace = self.probe.trigger
         self.limit_per_s = None
+        self.domain_drained = False
         self.draining = False
         # `StopDeadlines` while the daemon stops.
         self.stop = None
@@ -134,16 +142,20 @@
         if self.own.is_warming_up(now):
             # Some upstreams include the warm-up in their pace.
             pace = max(pace, WARM_UP_PACE)
+        pace_time = gauge.pace_time
+        if queue.warm_up.limits(now):
+            pace = max(pace, queue.warm_up_pace(now))
+            pace_time = now
         return LoadReport(
             queue.running,
             len(queue.waiting),
-            queue.usable_slots(),
+            queue.usable_slots(now),
             round(queue.mean_service_s() * 1000),
             self.refusal_reason() is not None,
             clock_ms(now),
             False,
             round(pace, 2),
-            min(60_000, int((now - gauge.pace_time) * 1000)),
+            min(60_000, int((now - pace_time) * 1000)),
             round(self.failure_share(now), 2),
         )
 
@@ -160,6 +172,25 @@
         self.queue.rate.set(limit_per_s, monotonic())
         self.announce_load()
 
+    def set_warm_up_limit(self, limit, bounds, can_check):
+        """Set the load that the local upstream bears while it warms up.
+
+        Parameters
+        ----------
+        limit : WarmUpLimit or None
+        bounds : Bounds
+        can_check : bool
+            Whether the configuration has a health check for the service.
+        """
+        per_s = None if limit is None else limit.per_s
+        self.queue.warm_up.set_limit(
+            per_s,
+            bounds.warm_up_share,
+            bounds.warm_up_reserve,
+            can_check,
+            monotonic(),
+        )
+
     def apply_leaving(self, identity, born_ms):
         """Apply a response in which a run of the local upstream states that it leaves.
 
@@ -201,6 +232,8 @@
         """Return the code with which all calls are currently refused, or None."""
         if self.draining or self.own.leaving:
             return "draining"
+        if self.domain_drained:
+            return "drained-domain"
         if not self.own.usable():
             return "not-ready"
         if self.pool.down:
@@ -217,7 +250,7 @@
             a rejected identity; see `AnnouncementResult`.
         """
         if is_new:
-            self.queue.draining = False
+            self.queue.draining = self.domain_drained
             self.update_limit(None)
             self._close_idle_connections()
             # The pace must be known before the first calls, or they may start in a slow
@@ -231,6 +264,29 @@
             self.announced_reason = state
             self.announce_load()
 
+    def set_domain_drained(self, drained):
+        """Refuse new and queued calls from now on, or take calls again.
+
+        Running calls continue. The upstream may have become cold while it got none, so
+        afterwards it counts as warming up until a health check says otherwise.
+        """
+        if drained == self.domain_drained:
+            return
+        self.domain_drained = drained
+        self.counters.add("domain_drains", drained=str(drained).lower())
+        self.log.event(
+            "failure domain drained" if drained else "failure domain in use",
+            running=self.queue.running,
+            queued=len(self.queue.waiting),
+        )
+        if drained:
+            self.queue.drain()
+        else:
+            self.queue.draining = self.draining or self.own.leaving
+            self.queue.warm_up.presume(monotonic(), check_only=True)
+        self.announced_reason = self.refusal_reason()
+        self.announce_load()
+
     def start_stopping(self, stop):
         """Refuse calls from now on as these `StopDeadlines` say."""
         self.stop = stop
@@ -399,14 +455,24 @@
     def _refuse_admission(self, call, error):
         match error:
             case Draining():
-                self._refuse(call, "draining", 0.0)
+                drained = self.refusal_reason() == "drained-domain"
+                self._refuse(call, "drained-domain" if drained else "draining", 0.0)
             case _ if call.open.spare_slot_only:
                 self._refuse(call, "no-spare-slot", 0.0)
+            case WarmingUp():
+                self._refuse(call, "warming-up", error.retry_after_s)
             case _:
                 self._refuse(call, "saturated", error.retry_after_s)
 
     def _on_pool_change(self):
         self.log.event("upstream connection", down=self.pool.down)
+        self.queue.warm_up.presume(monotonic())
+        self.announce_load()
+
+    def _on_warm_up_change(self, state):
+        name = type(state).__name__.lower()
+        self.counters.add("warm_up_changes", state=name)
+        self.log.event("warm-up", state=name, per_s=self.queue.warm_up.per_s)
         self.announce_load()
 
     def add_knee_verdict(self, verdict):
@@ -462,3 +528,5 @@
             if self.queue.waiting:
                 self.queue.expire(now)
             self.scheduling.log_if_due(now)
+            if self.queue.warm_up.check_due(now) and self.refusal_reason() is None:
+                self.probe.trigger()
--- a/goldcresthoist/node/tests/test_hedging.py
+++ b/goldcresthoist/node/tests/test_hedging.py
@@ -14,7 +14,9 @@
 
 class HedgingTest(unittest.IsolatedAsyncioTestCase):
     async def asyncSetUp(self):
-        self.site = LoopbackCluster(["listen", "listen", "ledger"], HedgeSettings(0.5))
+        self.site = LoopbackCluster(
+            ["listen", "listen", "ledger"], hedge_settings=HedgeSettings(0.5)
+        )
         await self.site.start()
         self.entry = self.site.nodes[self.site.ips[2]]
         self.limit = self.entry.hedging.limit
