Describe the metrics of warm-up and drained domains

test_every_counted_name_is_in_the_catalogue failed, as five new metrics had no description; it passes now.

--- a/goldcresthoist/telemetry/_catalogue.py
+++ b/goldcresthoist/telemetry/_catalogue.py
@@ -97,5 +97,10 @@
     "configurations_malformed": "Malformed configurations that were ignored.",
     "configuration_unknown": "Kinds and fields of the configuration not understood.",
     "pace_probes": "Health checks sent to read the pace, by outcome.",
+    "warm_up_rate_per_s": "Calls a second for the warm-up, -1 if not limited.",
+    "warm_up_changes": "Changes of what is known of the warm-up, by state.",
+    "domain_drained": "1 while the daemon's failure domain is drained, else 0.",
+    "drained_domains": "Failure domains that the operator drains.",
+    "domain_drains": "Times that the daemon's domain was drained or taken back.",
     "ready": "1 when the daemon takes calls, else 0.",
 }
