Enforce the quotas of workspaces over all daemons

Cause: requests of a workspace with a limit ran whatever its rate was. Change: a counting daemon for each group of workspaces grants tokens before requests run. Rates count in the time that 32 owners of a group allot to one counter at a time, so that counters on two sides of a partition, or after one another, share one rate. Without a counter, a daemon admits by its own time. Requests over the quota get 429 with a Retry-After; those that were refused without having run return their token. Deployments without quotas send nothing.

--- a/goldcresthoist/fleet/messages.py
+++ b/goldcresthoist/fleet/messages.py
@@ -13,6 +13,9 @@
     "MemberAnnouncement",
     "MemberLeft",
     "MemberRecord",
+    "QuotaNotice",
+    "QuotaReply",
+    "QuotaReport",
     "Roster",
     "RosterRequest",
     "RowMissing",
@@ -169,6 +172,53 @@
     born_ms: int
 
 
+class QuotaReport(msgspec.Struct, frozen=True, array_like=True, tag=11):
+    """Requests of workspaces that the sender asks a counter to admit.
+
+    ``ip`` is the address of the sender as a number. ``groups`` is the number of groups
+    that the sender computes from the members, and ``group`` the one of all items.
+    ``run`` and ``number`` identify the query; ``number`` is 0 in answers to a
+    `QuotaNotice`, which have no items. ``allotted_us`` is the time in microseconds that
+    the sender allots to the counter, and ``exclusive`` tells whether it has lately
+    allotted time to no other one. Each item has the name of a workspace, the number
+    of requests, and the number of tokens that earlier requests have not used.
+    """
+
+    ip: int
+    groups: int
+    group: int
+    run: int
+    number: int
+    allotted_us: int
+    exclusive: bool
+    items: tuple[tuple[str, int, int], ...] = ()
+
+
+class QuotaReply(msgspec.Struct, frozen=True, array_like=True, tag=12):
+    """Answer of a counter to a `QuotaReport`.
+
+    Each verdict has the number of requests that may run, and the time in milliseconds
+    after which the others can be repeated; -1 if the sender does not count for the
+    workspace. The verdicts are in the order of the items.
+    """
+
+    ip: int
+    run: int
+    number: int
+    verdicts: tuple[tuple[int, int], ...]
+
+
+class QuotaNotice(msgspec.Struct, frozen=True, array_like=True, tag=13):
+    """Request of a counter for the time that the receiver owns.
+
+    ``ip``, ``groups`` and ``group`` are those of `QuotaReport`.
+    """
+
+    ip: int
+    groups: int
+    group: int
+
+
 Datagram = (
     VersionReport
     | MemberAnnouncement
@@ -180,6 +230,9 @@
     | KneeVerdict
     | VersionNotice
     | MemberLeft
+    | QuotaReport
+    | QuotaReply
+    | QuotaNotice
 )
 
 _record = msgspec.msgpack.Decoder(MemberRecord)
--- a/goldcresthoist/node/assembly.py
+++ b/goldcresthoist/node/assembly.py
@@ -30,6 +30,7 @@
 from goldcresthoist.node.transfers import TransferBudget
 from goldcresthoist.pauses import PauseDetector
 from goldcresthoist.platform import StoreClient
+from goldcresthoist.quotas import QuotaService
 from goldcresthoist.telemetry import Counters, DecisionLog, PlainExposition
 from goldcresthoist.upstreams import ConnectionPool
 
@@ -78,6 +79,8 @@
         Admits the calls to the local upstream, from this and from other daemons.
     services : FleetServices
         Upstreams that the requests received here can be sent to.
+    quotas : QuotaService
+        Decides about requests of workspaces that have a quota.
     entry : EntryServer
         Handles the requests received here.
     """
@@ -122,6 +125,9 @@
         self.registration = Registration(
             self.directory, self.store, self.watch, self.log, settings.bootstrap
         )
+        self.quotas = QuotaService.from_settings(
+            settings, self.channel, self.counters, self.log, self.pauses
+        )
 
     def _build_calls(self, key):
         settings = self.settings
@@ -161,6 +167,7 @@
             self.counters,
             self.log,
             self.transfers,
+            self.quotas,
         )
         self.announcements = AnnouncementServer(
             self.own,
@@ -183,8 +190,11 @@
             server.on_error = self._log_request_error
 
     def _connect_components(self):
-        self.directory.on_member = self.services.add_member
-        self.directory.on_member_left = self.services.remove_member
+        self.directory.on_member = self._add_member
+        self.directory.on_member_left = self._remove_member
+        self.quotas.members_known = lambda: (
+            self.registration.rows_loaded.is_set() or len(self.directory.members) > 1
+        )
         self.watch.on_routing_table = self._apply_table
         self.watch.on_store_recovered = self.registration.store_recovered
         self.server.configuration_content = self.watch.current_content
@@ -213,6 +223,7 @@
             "configuration_behind_s", lambda: self.watch.behind_s(monotonic())
         )
         self.counters.gauge("configuration_unknown", self._count_unknown)
+        self.counters.gauge("quota_groups_counted", lambda: len(self.quotas.counter))
         self.counters.count_from("log_lines_dropped", lambda: self.log.dropped)
 
     async def listen(self):
@@ -248,6 +259,7 @@
         earlier = self.settings
         self.settings = settings
         self.services.set_bounds(settings.bounds)
+        self.quotas.set_bounds(settings.bounds)
         if settings.service == earlier.service:
             return
         self.log.event("service changed", was=earlier.service, now=settings.service)
@@ -284,6 +296,7 @@
         await self.server.close()
         await self.pool.close()
         await self.store.close()
+        self.quotas.close()
         self.channel.close()
         self.log.flush()
 
@@ -298,8 +311,17 @@
     def _log_request_error(self, error):
         self.log.event("request failed", error=repr(error))
 
+    def _add_member(self, record):
+        self.services.add_member(record)
+        self.quotas.add_member(record.ip)
+
+    def _remove_member(self, record):
+        self.services.remove_member(record)
+        self.quotas.remove_member(record.ip)
+
     def _apply_table(self, table):
-        """Apply the limits and the routes of a new configuration."""
+        """Apply the limits, the quotas and the routes of a new configuration."""
+        self.quotas.apply_table(table)
         limits = table.limits
         self.caller_server.set_limits(
             ConnectionLimits(
--- a/goldcresthoist/node/entry.py
+++ b/goldcresthoist/node/entry.py
@@ -11,6 +11,7 @@
 from goldcresthoist.http_fields import requested_host
 from goldcresthoist.node.request import EntryRequest
 from goldcresthoist.platform.fields import parse_request_fields, refusal_headers
+from goldcresthoist.quotas import OverQuota
 from goldcresthoist.workspaces import Identified, Rejected
 
 __all__ = ["EntryServer"]
@@ -36,6 +37,7 @@
         Service on this instance. It is sent to upstreams as the service of the caller.
     counters, log, transfers
         See `UpstreamServer`.
+    quotas : QuotaService
 
     Attributes
     ----------
@@ -46,7 +48,7 @@
     """
 
     def __init__(
-        self, services, watch, server, caller_service, counters, log, transfers
+        self, services, watch, server, caller_service, counters, log, transfers, quotas
     ):
         self.services = services
         self.watch = watch
@@ -55,6 +57,7 @@
         self.counters = counters
         self.log = log
         self.transfers = transfers
+        self.quotas = quotas
         self.loop = asyncio.get_running_loop()
         self.client_retries = ClientRetries()
         self.in_progress = 0
@@ -112,10 +115,27 @@
             exchange.keep_alive = False
             self.refuse(exchange, 503, "stopping", fields.request_id, NOT_READY_RETRY_S)
             return
-        entry_request = EntryRequest(
-            self, route, table, request, exchange, fields, wait_s, workspace
-        )
+        # Requests on public routes count towards no quota.
+        counted = None if route.public else workspace
         self.in_progress += 1
+        try:
+            verdict = await self.quotas.decide(counted)
+            if isinstance(verdict, OverQuota):
+                retry_s = verdict.retry_after_s
+                self.refuse(exchange, 429, "over-quota", fields.request_id, retry_s)
+                return
+            wait_s -= monotonic() - now
+            entry_request = EntryRequest(
+                self, route, table, request, exchange, fields, wait_s, workspace
+            )
+            await self._run(entry_request)
+            if not entry_request.may_have_run():
+                self.quotas.refund(counted)
+        finally:
+            self.in_progress -= 1
+
+    async def _run(self, entry_request):
+        """Run a request until its response is sent or its deadline has passed."""
         limit = deadline_at(entry_request.deadline)
         try:
             async with limit:
@@ -128,7 +148,6 @@
         except CallerError as exc:
             entry_request.on_caller_error(exc)
         finally:
-            self.in_progress -= 1
             self.deadlines.discard(limit)
             entry_request.finish()
 
--- a/goldcresthoist/node/request.py
+++ b/goldcresthoist/node/request.py
@@ -308,7 +308,7 @@
         cut_off = stop is not None and stop.cut_off_at < self.deadline
         self.outcome = "cut-off" if cut_off else "deadline"
         request_id = self.fields.request_id
-        if self._may_have_run():
+        if self.may_have_run():
             code = "stopping" if cut_off else "deadline-exceeded"
             self.entry.refuse(self.exchange, 504, code, request_id)
         else:
@@ -632,7 +632,7 @@
             case Failed():
                 self.outcome = "failed"
                 self.entry.refuse(self.exchange, 502, "upstream-failed", request_id)
-            case _ if self._may_have_run():
+            case _ if self.may_have_run():
                 self.outcome = "failed"
                 self.entry.refuse(self.exchange, 502, "upstream-failed", request_id)
             case Refuse(code=code):
@@ -663,7 +663,7 @@
             self._retry_after_s(),
         )
 
-    def _may_have_run(self):
+    def may_have_run(self):
         """Return whether an upstream may have executed the request, or still may."""
         return bool(self.unanswered) or any(
             item.get("got", "").startswith("!") for item in self.decisions
--- /dev/null
+++ b/goldcresthoist/quotas/order.py
@@ -0,0 +1,106 @@
+"""Order of the members of a fleet for each group of workspaces."""
+
+import hashlib
+from bisect import insort
+
+__all__ = ["COUNTERS", "OWNERS", "MemberOrder"]
+
+MEMBERS_PER_GROUP = 64
+# Daemons of a group that may count, in this order. With a third of the daemons lost,
+# all four are lost in one case of 80.
+COUNTERS = 4
+# Daemons of a group that own its time, the counters among them. Each answers some four
+# polls a second while the group is in need, so their number bounds the messages of a
+# counter; the share of a side of a partition is exact to a few hundredths.
+OWNERS = 32
+# Further members that are kept in order, so that few removals need a new sort.
+SPARE = 8
+DIGEST_BYTES = 8
+
+
+class MemberOrder:
+    """Orders the members for each group by rendezvous hashing.
+
+    All daemons with the same members compute the same order. Only the first members of
+    groups that were asked for are kept.
+    """
+
+    def __init__(self):
+        self.members = set()
+        # Sorted pairs of digest and address, by group.
+        self._first = {}
+        self._group_by_name = {}
+
+    @property
+    def groups(self):
+        """Number of groups, one for each 64 members or part of them."""
+        return max(1, -(-len(self.members) // MEMBERS_PER_GROUP))
+
+    def add(self, ip):
+        """Add a member if it is not known."""
+        if ip in self.members:
+            return
+        before = self.groups
+        self.members.add(ip)
+        if self._groups_changed(before):
+            return
+        for group, first in self._first.items():
+            insort(first, _entry(group, ip))
+            del first[OWNERS + SPARE :]
+
+    def discard(self, ip):
+        """Remove a member if it is known."""
+        if ip not in self.members:
+            return
+        before = self.groups
+        self.members.discard(ip)
+        if self._groups_changed(before):
+            return
+        for group, first in tuple(self._first.items()):
+            entry = _entry(group, ip)
+            if entry in first:
+                first.remove(entry)
+                if len(first) < OWNERS:
+                    del self._first[group]
+
+    def group_of(self, name):
+        """Return the group of a workspace."""
+        group = self._group_by_name.get(name)
+        if group is None:
+            digest = hashlib.blake2b(name.encode(), digest_size=DIGEST_BYTES).digest()
+            group = int.from_bytes(digest) % self.groups
+            self._group_by_name[name] = group
+        return group
+
+    def forget_names(self):
+        """Drop the cached groups, some of which may be those of removed workspaces."""
+        self._group_by_name.clear()
+
+    def owners(self, group):
+        """Return the addresses of the daemons that own the time of a group."""
+        first = self._first.get(group)
+        if first is None:
+            entries = sorted(_entry(group, ip) for ip in self.members)
+            first = self._first[group] = entries[: OWNERS + SPARE]
+        return [ip for _, ip in first[:OWNERS]]
+
+    def counters(self, group):
+        """Return the addresses of the daemons that may count a group, first first."""
+        return self.owners(group)[:COUNTERS]
+
+    def rank(self, group, ip):
+        """Return the position of a counter of a group; None for other daemons."""
+        counters = self.counters(group)
+        return counters.index(ip) if ip in counters else None
+
+    def _groups_changed(self, before):
+        if self.groups == before:
+            return False
+        self._first.clear()
+        self._group_by_name.clear()
+        return True
+
+
+def _entry(group, ip):
+    text = f"{group} {ip}".encode()
+    return hashlib.blake2b(text, digest_size=DIGEST_BYTES).digest(), ip
--- a/goldcresthoist/telemetry/_catalogue.py
+++ b/goldcresthoist/telemetry/_catalogue.py
@@ -97,5 +97,9 @@
     "configurations_malformed": "Malformed configurations that were ignored.",
     "configuration_unknown": "Kinds and fields of the configuration not understood.",
     "pace_probes": "Health checks sent to read the pace, by outcome.",
+    "quota_decisions": "Requests of workspaces with a quota, by outcome.",
+    "quota_messages": "Datagrams of quotas sent, by kind.",
+    "quota_refunds": "Requests refused without having run, which count to no quota.",
+    "quota_groups_counted": "Groups of workspaces that this daemon has counted.",
     "ready": "1 when the daemon takes calls, else 0.",
 }
