Bound the stock of a counter by the owners that it has to itself

Cause: with two views of the members, two daemons are first counters, and each held the whole burst. Change: a counter uses the part of the burst that belongs to owners which have allotted time to no other counter for 7 s.

--- /dev/null
+++ b/goldcresthoist/node/tests/test_quotas.py
@@ -0,0 +1,75 @@
+"""Tests of quotas through daemons on loopback addresses."""
+
+import asyncio
+import unittest
+from time import monotonic
+
+from goldcresthoist.node.tests.loopback_cluster import (
+    LoopbackCluster,
+    configuration,
+    wait_until,
+)
+from goldcresthoist.quotas import QuotaLimits
+from goldcresthoist.workspaces import Workspace
+
+KEY = "k-3f9a71"
+RATE_PER_S = 5.0
+BOUND = QuotaLimits().bound(Workspace("first", (), None, RATE_PER_S, RATE_PER_S))
+
+
+class QuotaTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self):
+        self.site = LoopbackCluster(["listen", "listen"])
+        await self.site.start()
+        document = configuration(2)
+        for route in document["routes"]:
+            route["public"] = route["name"] == "pack"
+        quota = {"rate_per_s": RATE_PER_S, "burst": RATE_PER_S}
+        document["tenants"] = [{"name": "first", "api_keys": [KEY]} | quota]
+        self.site.configure(document)
+        nodes = self.site.nodes.values()
+        await wait_until(lambda: all(node.watch.version == 2 for node in nodes))
+
+    async def asyncTearDown(self):
+        await self.site.stop()
+
+    async def send(self, ip, path="/read/1"):
+        """Send a request; return its id and the answer."""
+        return await self.site.call(ip, path, headers=[f"X-Api-Key: {KEY}"])
+
+    async def test_requests_at_once_through_two_daemons(self):
+        """Guards against daemons that each admit the whole quota."""
+        started = monotonic()
+        answers = await asyncio.gather(
+            *(self.send(ip) for ip in self.site.ips for _ in range(30))
+        )
+        self.assertLess(monotonic() - started, 5.0)
+        ran = {name for name, answer in answers if answer.status == 200}
+        refused = [answer for _, answer in answers if answer.status == 429]
+        self.assertEqual(len(ran) + len(refused), 60)
+        self.assertEqual(set(self.site.runs()), ran)
+        self.assertGreaterEqual(len(ran), 3)
+        self.assertLessEqual(len(ran), BOUND)
+        times = {answer.headers["retry-after"] for answer in refused}
+        self.assertGreater(len(times), len(refused) // 2)
+        self.assertTrue(all(0.0 < float(time) <= 5.0 for time in times))
+
+    async def test_requests_that_do_not_count(self):
+        """Guards against public and refused requests that use up the quota."""
+        for _ in range(10):
+            _, answer = await self.send(self.site.ips[0], "/pack/1")
+            self.assertEqual(answer.status, 200)
+        node = self.site.nodes[self.site.ips[0]]
+        self.assertEqual(node.counters.total("quota_decisions"), 0)
+        # Nothing serves uploads and writes here, so they are refused without a run.
+        for _ in range(10):
+            _, answer = await self.send(self.site.ips[0], "/write/1")
+            self.assertEqual(answer.status, 503)
+            await asyncio.sleep(0.25)
+        self.assertEqual(node.counters.value("quota_refunds"), 10)
+        _, answer = await self.send(self.site.ips[0])
+        self.assertEqual(answer.status, 200)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/goldcresthoist/quotas/counter.py
+++ b/goldcresthoist/quotas/counter.py
@@ -1,13 +1,19 @@
 """Counting of the requests of workspaces."""
 
+import math
 from dataclasses import dataclass
 
-from goldcresthoist.quotas.time_share import MAX_ALLOTTED_S
+from goldcresthoist.quotas.limits import capacity
+from goldcresthoist.quotas.time_share import HEARD_S, MAX_ALLOTTED_S
 
-__all__ = ["QuotaCounter", "Verdict"]
+__all__ = ["TICK_S", "QuotaCounter", "Verdict"]
 
-# Time after the last query for which the owners of a group are polled.
-ACTIVE_S = 3.0
+# Time after the last query for which the owners of a group are polled. A counter uses
+# only a few tokens of a full bucket until it has heard from the owners again.
+ACTIVE_S = 10.0
+# Interval of the checks which owners have to be polled. Few are polled in each, so that
+# their time does not come in lumps that are larger than the stock of a bucket.
+TICK_S = 0.025
 # Owners are polled after this time without a message while a bucket of the group needs
 # time, and otherwise less often. So are owners that are silent for `LOST_S`.
 POLL_S = 0.2
@@ -15,8 +21,6 @@
 LOST_S = 2.0
 # Buckets that are at least this full need no time of owners.
 FULL_SHARE = 0.75
-# Time without a message after which an owner no longer counts.
-HEARD_S = 2.0
 # Time over which the returns of refused callers are spread.
 SPREAD_S = 2.0
 
@@ -119,9 +123,9 @@
         share = _count_recent(group.exclusive, owners, now) / len(owners)
         bucket.refill(group.time_s)
         bucket.rate_per_s = workspace.rate_per_s
+        bucket.capacity = capacity(workspace)
         bucket.set_stock(self.limits.stock(workspace, share))
-        bucket.aside = min(bucket.aside, max(0.0, workspace.burst - bucket.tokens))
-        bucket.tokens = min(bucket.stock, bucket.tokens + refunded)
+        bucket.add(refunded)
         granted = min(wanted, max(0, int(bucket.tokens)))
         bucket.tokens -= granted
         if granted == wanted:
@@ -131,7 +135,7 @@
         return Verdict(granted, bucket.reserve(wanted - granted, rate_per_s, now))
 
     def owners_to_poll(self, number, owners, now):
-        """Return the addresses of the owners whose time the group needs now."""
+        """Return the addresses of the owners to poll in this `TICK_S`."""
         group = self.group(number)
         if now > group.active_until:
             return []
@@ -143,7 +147,9 @@
             polled_s = now - group.polled.get(ip, float("-inf"))
             if silent_s >= usual_s and polled_s >= interval_s:
                 due.append(ip)
-                group.polled[ip] = now
+        due.sort(key=lambda ip: group.polled.get(ip, float("-inf")))
+        del due[math.ceil(len(owners) * TICK_S / POLL_S) :]
+        group.polled.update(dict.fromkeys(due, now))
         return due
 
     def active_groups(self, now):
@@ -181,36 +187,63 @@
 class _Bucket:
     """Tokens of one workspace.
 
-    ``stock`` is the largest number of tokens. Tokens beyond it are set aside when it
-    falls and are put back when it rises. ``time_s`` is the time of the group up to
-    which tokens were added, and ``free_at`` the monotonic time at which the next
-    refused caller can have a token.
+    ``capacity`` is the largest number of tokens, and ``stock`` that of those which can
+    be used at present; the others are in ``aside``. ``not_moved`` is the part of the
+    falls of the stock for which there were no tokens to set aside. ``time_s`` is the
+    time of the group up to which tokens were added, and ``free_at`` the monotonic time
+    at which the next refused caller can have a token.
     """
 
-    __slots__ = ("aside", "free_at", "rate_per_s", "stock", "time_s", "tokens")
+    __slots__ = (
+        "aside",
+        "capacity",
+        "free_at",
+        "not_moved",
+        "rate_per_s",
+        "stock",
+        "time_s",
+        "tokens",
+    )
 
     def __init__(self, tokens, time_s):
-        self.tokens = self.stock = tokens
-        self.aside = 0.0
+        self.tokens = self.stock = self.capacity = tokens
+        self.aside = self.not_moved = 0.0
         self.time_s = time_s
         self.rate_per_s = 0.0
         self.free_at = float("-inf")
 
     def refill(self, time_s):
         """Add the tokens for the time that was allotted since the last call."""
-        gained = self.rate_per_s * (time_s - self.time_s)
-        self.tokens = min(self.stock, self.tokens + gained)
+        self.add(self.rate_per_s * (time_s - self.time_s))
         self.time_s = time_s
 
+    def add(self, tokens):
+        """Add tokens up to the capacity; those beyond the stock are set aside."""
+        gained = min(tokens, max(0.0, self.capacity - self.tokens - self.aside))
+        usable = max(0.0, min(gained, self.stock - self.tokens))
+        self.tokens += usable
+        self.aside += gained - usable
+
     def set_stock(self, stock):
-        """Change the largest number of tokens."""
-        if stock > self.stock:
-            back = min(self.aside, stock - self.stock)
-        else:
-            back = min(0.0, stock - self.tokens)
+        """Change the number of tokens that can be used at present.
+
+        A rise puts back no more than falls have set aside, so that a stock that varies
+        does not make the tokens usable that belong to other owners.
+        """
+        self.aside = max(0.0, min(self.aside, self.capacity - self.tokens))
+        change = stock - self.stock
+        self.stock = stock
+        if change < 0.0:
+            moved = max(0.0, self.tokens - stock)
+            self.not_moved += max(0.0, -change - moved)
+            self.tokens -= moved
+            self.aside += moved
+            return
+        skipped = min(self.not_moved, change)
+        self.not_moved -= skipped
+        back = min(self.aside, change - skipped)
         self.tokens += back
         self.aside -= back
-        self.stock = stock
 
     def reserve(self, refused, rate_per_s, now):
         """Return the time until tokens come that no other refused caller waits for.
--- a/goldcresthoist/quotas/service.py
+++ b/goldcresthoist/quotas/service.py
@@ -14,7 +14,7 @@
     QuotaAdmission,
     Waiting,
 )
-from goldcresthoist.quotas.counter import QuotaCounter
+from goldcresthoist.quotas.counter import TICK_S, QuotaCounter
 from goldcresthoist.quotas.limits import QuotaLimits
 from goldcresthoist.quotas.order import MemberOrder
 from goldcresthoist.quotas.time_share import TimeShare
@@ -36,8 +36,6 @@
 MAX_MESSAGE_AGE_S = 0.25
 # Time after which callers may repeat requests that came before the members were known.
 UNKNOWN_MEMBERS_RETRY_S = 0.3
-# Interval of the checks whether owners have to be polled.
-TICK_S = 0.1
 # Daemons whose last query is remembered, to drop copies. The oldest is dropped beyond.
 MAX_SENDERS = 20_000
 # Shortest time between two log lines on the same workspace or daemon.
--- a/goldcresthoist/quotas/time_share.py
+++ b/goldcresthoist/quotas/time_share.py
@@ -10,9 +10,12 @@
 PREFERENCE_S = 0.45
 # Longest time that local admission takes at once.
 MAX_LOCAL_S = 1.0
+# Time without a message after which a counter no longer relies on an owner.
+HEARD_S = 2.0
 # Time in which an owner must have allotted time to no other counter for a counter to
-# hold the part of the burst that belongs to the owner. It is that of the usual window.
-EXCLUSIVE_S = 5.0
+# use the part of the burst that belongs to the owner. The other counter may have used
+# it for `HEARD_S`, and both must not fall into one window of the usual 5 s.
+EXCLUSIVE_S = 5.0 + HEARD_S
 # Counters of one group that are remembered; the order of the members may change.
 MAX_COUNTERS = 16
 # Stands for local admission in place of the address of a counter.
