--- a/goldcresthoist/quotas/order.py
+++ b/goldcresthoist/quotas/order.py
@@ -9,7 +9,7 @@
 # With 64 members for each group, the busiest counter of 75 daemons sent and received
 # 49 KB a second at the usual load; with 8 it is 23.
 MEMBERS_PER_GROUP = 8
-# In a fleet of 20,000, a daemon takes some 20 ms to order the members for a group.
+# In a fleet of 20,000, a daemon takes some 27 ms to order the members for a group.
 MAX_GROUPS = 128
 # Daemons of a group that may count, in this order. With a third of the daemons lost,
 # all four are lost in one case of 80.
