Let each owner of a group count when the earlier ones are lost

Cause: with the first four counters lost, or a failure domain cut off from them, daemons admitted by their own time, and only 16 of 75 own any: 42 to 62 of 48 to 64 requests below a quota of 5 a second were refused, and 1,567 to 1,674 of some 1,900 below one of 188. Change: any owner may count; a query goes to one, then two, then four of them, 50 ms apart. Owners that do not answer are skipped for up to 8 s. Owners after the fourth start without tokens. A bucket with less than one token needs time.

--- a/goldcresthoist/bench/quota_fleet.py
+++ b/goldcresthoist/bench/quota_fleet.py
@@ -128,9 +128,9 @@
             self.configure(service)
 
     def counters(self):
-        """Return the addresses that may count the workspace, first first."""
+        """Return the addresses of the first four that may count the workspace."""
         order = next(iter(self.daemons.values())).order
-        return order.counters(order.group_of("acme"))
+        return order.owners(order.group_of("acme"))[:4]
 
     def kill(self, ip):
         """End a daemon; its timers and messages are lost."""
--- a/goldcresthoist/quotas/admission.py
+++ b/goldcresthoist/quotas/admission.py
@@ -8,11 +8,15 @@
 
 # Time after which a query is sent to the next counter as well.
 COUNTER_TIMEOUT_S = 0.05
-# Largest number of counters that one query is sent to.
-MAX_ASKED = 3
-# A counter that has not answered this many queries in a row is not asked for a while.
+# Number of counters that are asked at a time, while requests have no answer. A daemon
+# with few requests does not know which counters are lost, if many are.
+ASKED_AT_ONCE = (1, 2, 4)
+# A counter that has not answered this many queries in a row is not asked for a while,
+# which doubles with each further one. Owners that are lost for long would otherwise be
+# asked again and again before one that answers.
 MAX_UNANSWERED = 2
 SKIP_S = 1.0
+MAX_SKIP_S = 8.0
 # Shortest time between the starts of two queries for one group, and the longest time
 # for which a query without an answer keeps the next one waiting.
 MIN_INTERVAL_S = 0.01
@@ -72,6 +76,8 @@
     counters : list of str
         Addresses to ask, in this order.
     asked, answered : list of str, set of str
+    steps : int
+        Number of times at which counters were asked.
     """
 
     __slots__ = (
@@ -82,6 +88,7 @@
         "items",
         "number",
         "started",
+        "steps",
         "waiting",
         "waits",
     )
@@ -94,6 +101,7 @@
         self.waiting = waiting
         self.counters = counters
         self.asked = []
+        self.steps = 0
         self.answered = set()
         # Shortest wait time in seconds that a counter named, by name of the workspace.
         self.waits = {}
@@ -193,7 +201,7 @@
         """Return the addresses of the counters of a group that are asked at present."""
         return [
             ip
-            for ip in self.order.counters(group)
+            for ip in self.order.owners(group)
             if now >= self._skipped_until.get(ip, now)
         ]
 
@@ -249,19 +257,21 @@
             now,
             tuple(items),
             waiting,
-            self.counters(group, now)[:MAX_ASKED],
+            self.counters(group, now)[: sum(ASKED_AT_ONCE)],
         )
         self.exchanges[exchange.number] = exchange
         self._recount()
         return exchange
 
-    def next_counter(self, exchange):
-        """Return the next counter to ask, or None when all were asked."""
-        if len(exchange.asked) >= len(exchange.counters):
-            return None
-        ip = exchange.counters[len(exchange.asked)]
-        exchange.asked.append(ip)
-        return ip
+    def next_counters(self, exchange):
+        """Return the next counters to ask; an empty list when all were asked."""
+        if exchange.steps >= len(ASKED_AT_ONCE):
+            return []
+        first = len(exchange.asked)
+        found = exchange.counters[first : first + ASKED_AT_ONCE[exchange.steps]]
+        exchange.steps += 1
+        exchange.asked += found
+        return found
 
     def allotted_s(self, exchange, ip, now):
         """Return the time in seconds that a query allots to the counter it goes to.
@@ -383,7 +393,8 @@
         if count >= MAX_UNANSWERED and ip != self.ip:
             if count == MAX_UNANSWERED and self.on_unreachable is not None:
                 self.on_unreachable(ip)
-            self._skipped_until[ip] = now + SKIP_S
+            skip_s = SKIP_S * 2 ** min(10, count - MAX_UNANSWERED)
+            self._skipped_until[ip] = now + min(MAX_SKIP_S, skip_s)
 
     def _refuse_all(self, exchange, name, now):
         """Refuse the requests of a workspace as its counter has said."""
--- a/goldcresthoist/quotas/counter.py
+++ b/goldcresthoist/quotas/counter.py
@@ -94,7 +94,7 @@
             group.exclusive.pop(owner, None)
         group.time_s += max(0.0, min(MAX_ALLOTTED_S, allotted_s)) / len(owners)
 
-    def take(self, number, workspace, wanted, refunded, owners, now):
+    def take(self, number, workspace, wanted, refunded, rank, owners, now):
         """Take tokens for requests that are about to run.
 
         Parameters
@@ -105,6 +105,8 @@
             As in the configuration of this daemon.
         wanted, refunded : int
             Number of requests, and of tokens that earlier ones did not use.
+        rank : int
+            Position of this daemon among the owners.
         owners : sequence of str
         now : float
             Monotonic seconds.
@@ -118,7 +120,7 @@
             group.active_until = now + ACTIVE_S
         bucket = group.buckets.get(workspace.name)
         if bucket is None:
-            tokens = self.limits.first_tokens(workspace)
+            tokens = self.limits.first_tokens(workspace, rank)
             bucket = group.buckets[workspace.name] = _Bucket(tokens, group.time_s)
         share = _count_recent(group.exclusive, owners, now) / len(owners)
         bucket.refill(group.time_s)
@@ -180,7 +182,8 @@
         for bucket in self.buckets.values():
             bucket.refill(self.time_s)
         return any(
-            item.tokens < FULL_SHARE * item.stock for item in self.buckets.values()
+            item.tokens < max(1.0, FULL_SHARE * item.stock)
+            for item in self.buckets.values()
         )
 
 
@@ -206,7 +209,8 @@
     )
 
     def __init__(self, tokens, time_s):
-        self.tokens = self.stock = self.capacity = tokens
+        self.tokens = tokens
+        self.stock = self.capacity = max(1.0, tokens)
         self.aside = self.not_moved = 0.0
         self.time_s = time_s
         self.rate_per_s = 0.0
--- a/goldcresthoist/quotas/limits.py
+++ b/goldcresthoist/quotas/limits.py
@@ -4,10 +4,12 @@
 
 __all__ = ["QuotaLimits", "capacity"]
 
-# Parts of the reserve of the bound: one for the tokens at the start of each of four
-# counters, and two for those of local admission.
+# Parts of the reserve of the bound: one for the tokens at the start of each of the
+# first four owners that count, and two for those of local admission. Later owners
+# start without tokens and can only collect as many.
 RESERVE_PARTS = 6
 LOCAL_PARTS = 2
+FIRST_COUNTERS = 4
 # Part of the allowed excess that a counter may have in stock without any owners.
 COUNTER_SHARE = 0.05
 # Part of the allowed excess that local admission may have in stock in the whole fleet.
@@ -54,12 +56,14 @@
         quota = workspace.rate_per_s * self.window_s + workspace.burst
         return quota + self.excess(workspace) + self.reserve
 
-    def first_tokens(self, workspace):
-        """Return the tokens with which a counter starts."""
-        return min(capacity(workspace), max(1.0, self.reserve / RESERVE_PARTS))
+    def first_tokens(self, workspace, rank):
+        """Return the tokens with which the owner of this rank starts to count."""
+        if rank >= FIRST_COUNTERS:
+            return 0.0
+        return min(capacity(workspace), self.reserve / RESERVE_PARTS)
 
     def stock(self, workspace, share):
-        """Return the tokens that a counter may have.
+        """Return the tokens that a counter may have, at least one.
 
         Parameters
         ----------
@@ -69,8 +73,8 @@
             shares of all counters add up to 1 at most.
         """
         full = capacity(workspace)
-        least = self.first_tokens(workspace)
-        least = min(full, least + COUNTER_SHARE * self.excess(workspace))
+        least = self.reserve / RESERVE_PARTS + COUNTER_SHARE * self.excess(workspace)
+        least = min(full, max(1.0, least))
         return least + share * (full - least)
 
     def local_tokens(self, members):
--- a/goldcresthoist/quotas/order.py
+++ b/goldcresthoist/quotas/order.py
@@ -4,18 +4,16 @@
 import heapq
 from bisect import insort
 
-__all__ = ["COUNTERS", "OWNERS", "MemberOrder"]
+__all__ = ["OWNERS", "MemberOrder"]
 
 # With 64 members for each group, the busiest counter of 75 daemons sent and received
 # 49 KB a second at the usual load; with 8 it is 23.
 MEMBERS_PER_GROUP = 8
 # In a fleet of 20,000, a daemon takes some 27 ms to order the members for a group.
 MAX_GROUPS = 128
-# Daemons of a group that may count, in this order. With a third of the daemons lost,
-# all four are lost in one case of 80.
-COUNTERS = 4
-# Daemons of a group that own its time, the counters among them. Each answers five polls
-# a second while the group is in need, so their number bounds the messages of a counter.
+# Daemons of a group that own its time. Each of them may count, the first that can be
+# reached does. Each answers five polls a second while the group is in need, so their
+# number bounds the messages of a counter.
 OWNERS = 16
 # Further members that are kept in order, so that few removals need a new sort.
 SPARE = 8
@@ -85,21 +83,17 @@
         self._group_by_name.clear()
 
     def owners(self, group):
-        """Return the addresses of the daemons that own the time of a group."""
+        """Return the addresses of the owners of a group, in order."""
         first = self._first.get(group)
         if first is None:
             entries = (_entry(group, ip) for ip in self.members)
             first = self._first[group] = heapq.nsmallest(OWNERS + SPARE, entries)
         return [ip for _, ip in first[:OWNERS]]
 
-    def counters(self, group):
-        """Return the addresses of the daemons that may count a group, first first."""
-        return self.owners(group)[:COUNTERS]
-
     def rank(self, group, ip):
-        """Return the position of a counter of a group; None for other daemons."""
-        counters = self.counters(group)
-        return counters.index(ip) if ip in counters else None
+        """Return the position of an owner of a group; None for other daemons."""
+        owners = self.owners(group)
+        return owners.index(ip) if ip in owners else None
 
     def _groups_changed(self, before):
         if self.groups == before:
--- a/goldcresthoist/quotas/service.py
+++ b/goldcresthoist/quotas/service.py
@@ -226,35 +226,38 @@
             self._schedule(group)
 
     def _ask(self, exchange):
-        """Send a query to the next counter; end it when all had their time."""
+        """Send a query to the next counters; end it when all had their time."""
         if exchange.number not in self.admission.exchanges:
             return
         now = self.clock()
-        ip = None
-        if not exchange.asked or not exchange.is_settled():
-            ip = self.admission.next_counter(exchange)
-        if ip is None:
+        ips = []
+        if not exchange.steps or not exchange.is_settled():
+            ips = self.admission.next_counters(exchange)
+        if not ips:
             self.admission.end(exchange, now)
             return
-        self.call_later(COUNTER_TIMEOUT_S, self._ask_after_timeout, exchange, ip)
-        report = QuotaReport(
-            self._number,
-            self.order.groups,
-            exchange.group,
-            self._run,
-            exchange.number,
-            int(self.admission.allotted_s(exchange, ip, now) * 1e6),
-            self.time_share.is_exclusive(exchange.group, ip, now),
-            exchange.items,
+        self.call_later(
+            COUNTER_TIMEOUT_S, self._ask_after_timeout, exchange, exchange.steps
         )
-        if ip == self.ip:
-            self._use_answer(exchange, ip, self._count(report, ip))
-        else:
-            self._send(report, ip)
-
-    def _ask_after_timeout(self, exchange, ip):
-        """Go on with a query unless another counter was asked meanwhile."""
-        if exchange.asked and exchange.asked[-1] == ip:
+        for ip in ips:
+            report = QuotaReport(
+                self._number,
+                self.order.groups,
+                exchange.group,
+                self._run,
+                exchange.number,
+                int(self.admission.allotted_s(exchange, ip, now) * 1e6),
+                self.time_share.is_exclusive(exchange.group, ip, now),
+                exchange.items,
+            )
+            if ip == self.ip:
+                self._use_answer(exchange, ip, self._count(report, ip))
+            else:
+                self._send(report, ip)
+
+    def _ask_after_timeout(self, exchange, steps):
+        """Go on with a query unless other counters were asked meanwhile."""
+        if exchange.steps == steps:
             self._ask(exchange)
 
     def _use_answer(self, exchange, ip, verdicts):
@@ -303,6 +306,7 @@
                 workspace,
                 wanted,
                 returned,
+                self.order.rank(group, self.ip),
                 self.order.owners(group),
                 self.clock(),
             )
