Return tokens of a query to one counter only

Cause: a query that went to several counters told each of them the tokens that earlier requests had not used, and each added them. Change: only the first counter that is asked gets them.

--- a/goldcresthoist/quotas/admission.py
+++ b/goldcresthoist/quotas/admission.py
@@ -106,6 +106,16 @@
         # Shortest wait time in seconds that a counter named, by name of the workspace.
         self.waits = {}
 
+    def items_for(self, ip):
+        """Return the items of the message to a counter.
+
+        Only the first one that is asked gets the returned tokens, as each would add
+        them to its bucket.
+        """
+        if ip == self.asked[0]:
+            return self.items
+        return tuple((name, wanted, 0) for name, wanted, _ in self.items)
+
     def is_settled(self):
         """Return whether no request waits any longer."""
         return not any(self.waiting.values())
--- a/goldcresthoist/quotas/service.py
+++ b/goldcresthoist/quotas/service.py
@@ -248,7 +248,7 @@
                 exchange.number,
                 int(self.admission.allotted_s(exchange, ip, now) * 1e6),
                 self.time_share.is_exclusive(exchange.group, ip, now),
-                exchange.items,
+                exchange.items_for(ip),
             )
             if ip == self.ip:
                 self._use_answer(exchange, ip, self._count(report, ip))
