Correct the test of returned tokens

Change: the test uses a daemon that does not count. Measured: passes; with the fault put back it fails with 7 tokens instead of 1.

--- a/goldcresthoist/quotas/tests/test_parts.py
+++ b/goldcresthoist/quotas/tests/test_parts.py
@@ -133,15 +133,17 @@
     def test_only_one_counter_gets_returned_tokens(self):
         """Guards against a returned token that several counters add to a bucket."""
         fleet = QuotaFleet(75, 5.0, 5.0)
-        ip = next(ip for ip in fleet.ips if fleet.daemons[ip].order.rank(0, ip) is None)
-        service = fleet.daemons[ip]
-        reports = []
-        service.channel.send = lambda message, ips: reports.append(message)
+        order = fleet.daemons[fleet.ips[0]].order
+        owners = order.owners(order.group_of("acme"))
+        service = fleet.daemons[next(ip for ip in fleet.ips if ip not in owners)]
+        returned = []
+        service.channel.send = lambda message, ips: returned.extend(
+            item[2] for item in message.items
+        )
         service.refund(fleet.workspace)
         service.admit(fleet.workspace)
-        fleet.run_until(100.2)
-        self.assertGreater(len(reports), 5)
-        self.assertEqual(sum(item[2] for r in reports for item in r.items), 1)
+        fleet.run_until(100.3)
+        self.assertEqual((len(returned), sum(returned)), (7, 1))
 
     def test_messages_fit_into_a_packet(self):
         """Guards against datagrams that the network splits or drops."""
