--- a/goldcresthoist/balance/ranking.py
+++ b/goldcresthoist/balance/ranking.py
@@ -180,8 +180,12 @@
             return victim
         keys = self._keys(waiting, now)
         rank, used_s, _ = self._new_key(call, waiting, now)
+        can_wait = self.can_wait(call, now)
         candidates = [] if victim is None else [victim]
         for item in waiting:
+            if item.can_wait != can_wait:
+                # It has a place of its own, and the new call does not wait for it.
+                continue
             other_rank, other_used_s, _ = keys[item]
             if not (call.workspace or item.call.workspace):
                 continue
@@ -192,6 +196,18 @@
                 candidates.append(item)
         return max(candidates, key=keys.__getitem__, default=None)
 
+    def by_use(self, waiting, now):
+        """Return the calls by the use of their workspaces, equal ones by age.
+
+        The calls of a workspace that are ahead of a call count as its use.
+        """
+        queued_s = {}
+        keys = {
+            item: (self._use_s(item.call, queued_s, now), item.order)
+            for item in sorted(waiting, key=lambda item: item.order)
+        }
+        return sorted(keys, key=keys.get)
+
     def _plain_rank(self, call, now):
         """Return whether the call is late and not short, its length and its priority.
 
--- a/goldcresthoist/balance/slots.py
+++ b/goldcresthoist/balance/slots.py
@@ -313,6 +313,9 @@
         )
         if (
             self.running + len(self.waiting) >= limit
+            or self.warm_up.limits(now)
+            or self.warm_up.needs_confirmation(now)
+            or (self.waiting and self.rate.per_s is not None)
             or self._is_paused(now)
             or self._is_slow_phase(now)
             or self._too_slow_for(call, usual_s, now)
@@ -380,7 +383,7 @@
             if self._is_paused(now):
                 return
             if self.warm_up.limits(now):
-                waiter = self._fair_order(candidates)[0]
+                waiter = self._fair_order(candidates, now)[0]
             else:
                 waiter = self.ranking.next(candidates, now)
             if self._try_start(waiter, now):
@@ -475,7 +478,7 @@
             self.last_start_at[call.work] = now
 
     def _admit_in_warm_up(self, call, usual_s, limit, now):
-        """Behave as `admit` while the warm-up limits the calls.
+        """Assign a slot to a call, queue or refuse it while the warm-up limits starts.
 
         A call that cannot start in time from its place among the waiting ones is
         refused. When the queue is full, the last call in the order is.
@@ -490,7 +493,7 @@
         now : float
         """
         new = Waiter(call, None, self.arrivals + 1, call.deadline, False)
-        order = self._fair_order((*self.waiting, new))
+        order = self._fair_order((*self.waiting, new), now)
         place = order.index(new)
         wait_s = self._warm_up_wait_s(call, usual_s, place, limit, now)
         if self._too_late_after(wait_s, call, usual_s, now):
@@ -512,6 +515,7 @@
             if last is new:
                 raise error
             self._fail(last, error, now)
+            self.on_evicted(last.call, call)
         return self._enqueue(call, now)
 
     def _warm_up_wait_s(self, call, usual_s, place, limit, now):
@@ -532,7 +536,7 @@
     def _expire_in_warm_up(self, now):
         """Refuse the waiting calls that cannot start in time from their places."""
         place = 0
-        for waiter in self._fair_order(self.waiting):
+        for waiter in self._fair_order(self.waiting, now):
             call = waiter.call
             usual_s = self.usual_s(call, now)
             limit = self.limit_for(self.is_short(call.work))
@@ -542,15 +546,16 @@
             else:
                 place += 1
 
-    def _fair_order(self, waiters):
+    def _fair_order(self, waiters, now):
         """Return waiting calls in the order in which they are served in a warm-up.
 
         Priorities come first. Within a priority, the kinds of work take turns, from the
         one that has started a call least recently, so that no work takes all starts.
+        Among calls of one kind, those go first whose workspace has used least.
         """
         turns = {}
         keys = {}
-        for waiter in sorted(waiters, key=lambda item: item.order):
+        for waiter in self.ranking.by_use(waiters, now):
             call = waiter.call
             turn = turns[call.priority, call.work] = (
                 turns.get((call.priority, call.work), -1) + 1
--- a/goldcresthoist/balance/tests/test_warm_up.py
+++ b/goldcresthoist/balance/tests/test_warm_up.py
@@ -191,6 +191,28 @@
         except Saturated as exc:
             return exc
 
+    async def test_hedges_take_no_start_of_a_cold_upstream(self):
+        """Guards against hedges beyond the rate, and before the calls that wait."""
+        call = make_call("accession", 51.0, deadline=53.0)
+        with self.assertRaises(Saturated):
+            self.queue.admit_to_spare_slot(call, 51.0)
+        self.queue.warm_up = make_warm_up(warm_at=40.0)
+        for _ in range(int(PER_S)):
+            self.queue.warm_up.take(50.0)
+        self.queue.request_pace = lambda: None
+        self.assertTrue(self.queue.warm_up.needs_confirmation(50.0))
+        with self.assertRaises(Saturated):
+            self.queue.admit_to_spare_slot(call, 50.0)
+
+    async def test_workspaces_take_turns_within_a_kind(self):
+        """Guards against a workspace that gets all starts by flooding the queue."""
+        for name in ("flood", "flood", "flood", "quiet"):
+            self.admit(wait_s=30.0, workspace=name)
+        order = self.queue._fair_order(self.queue.waiting, 50.0)
+        # The first call of the other workspace has started already.
+        names = [item.call.workspace for item in order]
+        self.assertEqual(names, ["quiet", "flood", "flood"])
+
     async def test_works_take_turns_within_a_priority(self):
         """Guards against short work that takes all starts while a service warms up."""
         short = [self.admit("rights") for _ in range(6)]
--- a/goldcresthoist/callers/exchange.py
+++ b/goldcresthoist/callers/exchange.py
@@ -94,6 +94,9 @@
     async def send(self, body):
         """Write body bytes and wait until the transport accepts more data."""
         if body and not self.bodyless:
+            if not self.connection.is_first():
+                # Otherwise it could hold one write more for each request.
+                await self.connection.drain()
             self.connection.write(self._frame_body(body))
         await self.connection.drain()
 
--- a/goldcresthoist/callers/server.py
+++ b/goldcresthoist/callers/server.py
@@ -189,6 +189,9 @@
             return
         if self.pending_requests and self.server.begin is not None:
             self._begin_early()
+        if self.pending_requests and self.server.runs_beside is not None:
+            # The body of the next request may be complete now.
+            self._wake_task()
         self._update_reading()
 
     def eof_received(self):
@@ -403,7 +406,10 @@
 
     def _expects_input(self):
         """Return whether pipelined requests may arrive behind the last response."""
-        return self.server.runs_beside is not None and not self.caller_closes
+        receiving = self.parser.request is not None
+        return self.server.runs_beside is not None and (
+            receiving or not self.caller_closes
+        )
 
     def _count_dropped(self):
         """Count the requests behind a response that closes the connection."""
--- a/goldcresthoist/node/call_execution.py
+++ b/goldcresthoist/node/call_execution.py
@@ -147,9 +147,10 @@
         """Release the slot, or leave the queue, without running the call."""
         queue = self.server.queue
         future = self.future
-        if future is not None and not future.done():
+        if future is not None and (not future.done() or future.cancelled()):
+            # Cancelling the task that waits for the future cancels the future as well.
             queue.abandon(future)
-        elif future is None or not (future.cancelled() or future.exception()):
+        elif future is None or not future.exception():
             now = monotonic()
             queue.record_end(self.slot_call, 0.0, 1.0, now)
             queue.release(now)
@@ -189,7 +190,8 @@
         queue = self.server.queue
         now = monotonic()
         taken_s = now - self.started_at
-        queue.record_end(self.slot_call, taken_s, self.pace_at_start, now)
+        used_s = 0.0 if self.upstream_run is None else taken_s
+        queue.record_end(self.slot_call, used_s, self.pace_at_start, now)
         if succeeded:
             queue.record(
                 self.slot_call.work,
--- a/goldcresthoist/node/entry.py
+++ b/goldcresthoist/node/entry.py
@@ -150,8 +150,6 @@
                 self, route, table, request, exchange, fields, wait_s, workspace
             )
             await self._run(entry_request)
-            if not entry_request.may_have_run():
-                self.quotas.refund(counted)
         finally:
             self.in_progress -= 1
 
--- a/goldcresthoist/node/request.py
+++ b/goldcresthoist/node/request.py
@@ -361,9 +361,12 @@
             limit = LARGE_PREFIX_BYTES if is_large else MAX_PREFIX_BYTES
             self.prefix = await body.read_up_to(limit)
             self.body_complete = body.exhausted
-        # Another host may have other work at the same path.
+        # Another host or workspace may have other work at the same path.
+        caller = f"{self.entry.caller_service.decode()} {self.host}"
+        if self.workspace is not None:
+            caller += f" {self.workspace.name}"
         self.fingerprint = fingerprint(
-            f"{self.entry.caller_service.decode()} {self.host}",
+            caller,
             self.request.method,
             self.target,
             self.request.content_length,
--- a/goldcresthoist/node/tests/test_serving.py
+++ b/goldcresthoist/node/tests/test_serving.py
@@ -134,6 +134,15 @@
             await self.server.serve(waiting)
         self.assertEqual(waiting.refused, "deadline")
 
+    async def test_cancelled_call_leaves_the_queue(self):
+        """Guards against a queue that is full of calls whose callers have left."""
+        self.server.queue.slots = 2
+        _, _, waiting = self.begin(), self.begin(), self.begin()
+        self.assertEqual(len(self.server.queue.waiting), 1)
+        waiting.begin_result.future.cancel()
+        waiting.begin_result.abandon()
+        self.assertEqual(self.server.queue.waiting, [])
+
     async def test_call_for_another_service_is_refused(self):
         """Guards against a call that is executed by the wrong service.
 
--- a/goldcresthoist/platform/configuration.py
+++ b/goldcresthoist/platform/configuration.py
@@ -37,6 +37,10 @@
 DRAINED_DOMAIN_PREFIX = "evacuate/"
 MAX_DOMAIN_CHARS = 200
 
+# A larger rate during the warm-up counts as this one. Its requests of one second are
+# kept one by one.
+MAX_WARM_UP_PER_S = 10_000.0
+
 _KINDS = {
     "idempotent": Idempotent(),
     "non_idempotent": NonIdempotent(),
@@ -130,7 +134,9 @@
         _find_unknown(document, decoded),
         _workspaces(decoded.tenants),
         {
-            item.name: WarmUpLimit(item.cold_start_s, item.cold_per_s)
+            item.name: WarmUpLimit(
+                item.cold_start_s, min(MAX_WARM_UP_PER_S, item.cold_per_s)
+            )
             for item in decoded.services
             if item.cold_per_s > 0
         },
--- a/goldcresthoist/quotas/admission.py
+++ b/goldcresthoist/quotas/admission.py
@@ -197,12 +197,6 @@
         )
         return Waiting(future)
 
-    def refund(self, workspace, now):
-        """Return the token of a request that was refused without having run."""
-        if workspace.rate_per_s > 0.0:
-            self._state(workspace)
-            self._add_returned(workspace.name, 1)
-
     def remove_others(self, names):
         """Forget workspaces that the configuration no longer has."""
         self._states = {key: item for key, item in self._states.items() if key in names}
--- a/goldcresthoist/quotas/service.py
+++ b/goldcresthoist/quotas/service.py
@@ -186,14 +186,6 @@
             verdict = await verdict.future
         return verdict
 
-    def refund(self, workspace):
-        """Return the token of a request that was refused without having run."""
-        if workspace is None or workspace.rate_per_s <= 0.0:
-            return
-        self.admission.refund(workspace, self.clock())
-        self.counters.add("quota_refunds")
-        self._schedule(self.order.group_of(workspace.name))
-
     def close(self):
         """Stop sending; requests that wait get a decision when their time is over."""
         self.closed = True
--- a/goldcresthoist/routes/check.py
+++ b/goldcresthoist/routes/check.py
@@ -203,7 +203,7 @@
     elif not route.prefix.endswith("/"):
         text = f"{route.prefix!r} has no slash at its end and matches longer names too"
         found.append(Finding(place, text))
-    if ":" in route.host and not route.host.startswith("["):
+    if ":" in route.host:
         text = f"{route.host!r} never matches, as hosts are compared without port"
         found.append(Finding(f"{route.place}.host", text))
     return found
--- a/goldcresthoist/telemetry/_catalogue.py
+++ b/goldcresthoist/telemetry/_catalogue.py
@@ -113,7 +113,6 @@
     "domain_drains": "Times that the daemon's domain was drained or taken back.",
     "quota_decisions": "Requests of workspaces with a quota, by outcome.",
     "quota_messages": "Datagrams of quotas sent, by kind.",
-    "quota_refunds": "Requests refused without having run, which count to no quota.",
     "quota_groups_counted": "Groups of workspaces that this daemon has counted.",
     "ready": "1 when the daemon takes calls, else 0.",
 }
--- a/goldcresthoist/workspaces/directory.py
+++ b/goldcresthoist/workspaces/directory.py
@@ -39,7 +39,10 @@
     def __init__(self, workspaces):
         self.by_name = {item.name: item for item in workspaces}
         self._by_key = {
-            key.encode(): item for item in self.by_name.values() for key in item.keys
+            key.encode(): item
+            for item in self.by_name.values()
+            for key in item.keys
+            if key
         }
 
     def identify(self, key, public):
--- a/goldcresthoist/workspaces/priorities.py
+++ b/goldcresthoist/workspaces/priorities.py
@@ -4,6 +4,8 @@
 
 # Ranks of routes from this one on count as equal within a workspace's rank.
 ROUTE_RANKS = 100
+# Ranks beyond this one count as equal. Links carry integers of 64 bits.
+MAX_PRIORITY = 1_000_000
 
 
 def combined_priority(route_priority, workspace):
@@ -26,4 +28,5 @@
     first = route_priority
     if workspace is not None and workspace.priority is not None:
         first = workspace.priority
+    first = max(-MAX_PRIORITY, min(MAX_PRIORITY, first))
     return first * ROUTE_RANKS + max(0, min(ROUTE_RANKS - 1, route_priority))
--- a/goldcresthoist/workspaces/tests/test_directory.py
+++ b/goldcresthoist/workspaces/tests/test_directory.py
@@ -26,6 +26,7 @@
 
     def test_unknown_keys_are_rejected(self):
         """Guards against requests that run without a valid key."""
+        self.directory = WorkspaceDirectory([self.first, Workspace("open", ("",))])
         for key in (None, b"", b"k", b"K1", b"k1 ", b"first"):
             self.assertEqual(self.directory.identify(key, False), Rejected(), key)
 
