--- a/goldcresthoist/balance/errors.py
+++ b/goldcresthoist/balance/errors.py
@@ -42,7 +42,10 @@
 
 
 class WarmingUp(Saturated):
-    """The upstream warms up, and the call cannot start in time from its place."""
+    """The upstream warms up, and the call cannot start in time from its place.
+
+    Its parameter is that of `Saturated`: the time until the call could start.
+    """
 
 
 class Draining(AdmissionRefused):
--- a/goldcresthoist/balance/slots.py
+++ b/goldcresthoist/balance/slots.py
@@ -245,7 +245,7 @@
 
         Raises
         ------
-        Draining, Saturated
+        Draining, Saturated, WarmingUp
             The call was refused. It neither holds a slot nor waits for one.
         """
         if self.draining:
@@ -376,7 +376,8 @@
 
         If the next call needs a fresh pace sample, one is requested. During a slow
         phase, a call that loses too much by starting stays in the queue if it has no
-        alternatives, and is refused otherwise.
+        alternatives, and is refused otherwise. Calls of other work may then pass it
+        where workspaces are in use.
         """
         candidates = list(self.waiting)
         while candidates and self.running < self.slots:
--- a/goldcresthoist/node/hedging.py
+++ b/goldcresthoist/node/hedging.py
@@ -38,7 +38,7 @@
 
     def record_refusal(self, request, attempt, refusal):
         """Count a `Refuse`; return the budgets of a hedge that reached no upstream."""
-        if refusal.code in ("no-upstream", "upstream-refused"):
+        if refusal.code == "upstream-refused":
             return
         if attempt.hedge:
             request.service.budget.refund()
--- a/goldcresthoist/node/pace_probe.py
+++ b/goldcresthoist/node/pace_probe.py
@@ -30,10 +30,11 @@
 class PaceProbe:
     """Reads the pace from responses to health checks of the local upstream.
 
-    At most one probe is in progress. Only the load field of the response is used; its
-    status is ignored. The first failure is followed by another probe at once, because
-    it may be due to a delay of this daemon. As long as no pace was ever read, probes
-    are repeated after the back-off time, since calls would start at any pace.
+    At most one probe is in progress. The response also gives the remaining warm-up, the
+    limit of the upstream and whether it leaves. The first failure is followed by
+    another probe at once, because it may be due to a delay of this daemon. As long as
+    no pace was ever read, probes are repeated after the back-off time, since calls
+    would start at any pace.
 
     Parameters
     ----------
--- a/goldcresthoist/quotas/service.py
+++ b/goldcresthoist/quotas/service.py
@@ -305,7 +305,7 @@
             wait_ms = min(MAX_WAIT_MS, math.ceil(verdict.wait_s * 1000))
             verdicts.append((verdict.granted, wait_ms))
         if counts and self.order.rank(group, self.ip):
-            self._log_seldom("quota counted by successor", group=group)
+            self._log_seldom("quota counted by later owner", group=group)
         if counts and not self._ticking:
             self._ticking = True
             self.call_later(0.0, self._tick)
