--- a/review/standins_2.py
+++ b/review/standins_2.py
@@ -24,7 +24,7 @@
 # The command of deploy/system.toml.
 COMMAND = ["python3", "-m", "goldcresthoist.node"]
 STORE_PORT = 8627
-HISTORY_S = 20.0
+HOST = "site.example"
 
 
 async def read_head(reader):
@@ -286,7 +286,7 @@
             "deadline_ms": fields.get("deadline-ms"),
             "service": self.service,
         }
-        self.runs.append(run)
+        self.runs.append(run | {"at": time.monotonic()})
         self.record("run", target=self.identity, **run)
         try:
             left = deadline - time.monotonic()
@@ -308,26 +308,33 @@
         writer.write(message(f"HTTP/1.1 {status} X", fields, content))
         return True
 
+    def heartbeat(self):
+        """Return the body of the next heartbeat."""
+        self.sequence += 1
+        return {
+            "address": f"{self.ip}:8628",
+            "info": {
+                "service": self.service,
+                "version": "v1",
+                "zone": self.zone,
+                "slots": self.slots,
+            },
+            "status": {
+                "state": self.state,
+                "sequence": self.sequence,
+                "cold_left_s": 0,
+            },
+            "born": self.born,
+        }
+
+    async def beat(self, document=None):
+        """Send a heartbeat; return whether it was acknowledged."""
+        path = f"/Instances.Heartbeat/{self.identity}"
+        return await self.tell(path, document or self.heartbeat())
+
     async def _beat(self):
         while True:
-            self.sequence += 1
-            document = {
-                "address": f"{self.ip}:8628",
-                "info": {
-                    "service": self.service,
-                    "version": "v1",
-                    "zone": self.zone,
-                    "slots": self.slots,
-                },
-                "status": {
-                    "state": self.state,
-                    "sequence": self.sequence,
-                    "cold_left_s": 0,
-                },
-                "born": self.born,
-            }
-            path = f"/Instances.Heartbeat/{self.identity}"
-            acknowledged = await self.tell(path, document)
+            acknowledged = await self.beat()
             await asyncio.sleep(1.5 if acknowledged else 0.3)
 
     async def tell(self, path, document):
@@ -372,6 +379,7 @@
         self.bounds = bounds
         self.store = Store()
         self.processes = {}
+        self.sent = 0
         self.targets = {
             ip: Target(f"i-{n}", service, ip, zone, slots, self.record)
             for n, (ip, (zone, service)) in enumerate(zip(self.ips, machines))
@@ -459,6 +467,32 @@
         # Traffic starts some seconds after the machines.
         await asyncio.sleep(5)
 
+    async def call(self, ip, path, method="GET", body=b"", deadline_ms=1500):
+        """Send one request on a connection of its own; return its id and the status.
+
+        The status is 0 when there was no complete answer.
+        """
+        self.sent += 1
+        request_id = f"q{self.sent}"
+        self.record("sent", id=request_id, to=ip, path=path)
+        status = 0
+        try:
+            async with asyncio.timeout(deadline_ms / 1000 + 1.0):
+                reader, writer = await asyncio.open_connection(ip, 8629)
+                try:
+                    fields = [("Host", HOST), ("Request-Id", request_id)]
+                    fields.append(("Deadline-Ms", str(deadline_ms)))
+                    writer.write(message(f"{method} {path} HTTP/1.1", fields, body))
+                    line, fields = await read_head(reader)
+                    await read_body(reader, fields)
+                    status = int(line.split(" ")[1])
+                finally:
+                    writer.close()
+        except (OSError, TimeoutError, asyncio.IncompleteReadError):
+            pass
+        self.record("answered", id=request_id, status=status)
+        return request_id, status
+
     async def ready(self, ip):
         """Return whether the daemon answers the question of the platform with 200."""
         try:
