--- a/review/standins_2.py
+++ b/review/standins_2.py
@@ -25,6 +25,8 @@
 COMMAND = ["python3", "-m", "goldcresthoist.node"]
 STORE_PORT = 8627
 HOST = "site.example"
+CRASH_S = 0.02
+DOWN_S = 2.0
 
 
 async def read_head(reader):
@@ -107,8 +109,6 @@
         self.history = []
         self.changed = asyncio.Event()
         self.started = time.monotonic()
-        # Addresses of the machines that are turned away with 503.
-        self.refused = set()
         self.down = False
 
     def put(self, table, key, value):
@@ -140,9 +140,8 @@
         method, target, _ = start.split(" ")
         path, _, query = target.partition("?")
         query = dict(parse_qsl(query))
-        peer = writer.get_extra_info("peername")[0]
         await asyncio.sleep(0.004)
-        if self.down or peer in self.refused:
+        if self.down:
             writer.write(message("HTTP/1.1 503 X", []))
             return True
         if path == "/rows-get":
@@ -221,6 +220,9 @@
     hang_share : float
         Share of the requests that the target begins to run and does not finish: it
         answers 504 at their deadline. Its health check stays good.
+    crash_path : str or None
+        Path of the request that ends the target `CRASH_S` after it has begun to run it.
+        The target is back `DOWN_S` later, with another identity.
     runs : list of dict
         Every request that it began to run.
     """
@@ -240,6 +242,23 @@
         self.running = self.waiting = 0
         self.runs = []
         self.beats = None
+        self.crash_path = None
+        self.crashes = []
+        # Number of the process of the target; those before it have ended.
+        self.life = 0
+
+    async def crash(self):
+        """End as a process that dies, and come back as another run."""
+        self.crashes.append(time.monotonic())
+        self.record("crash", target=self.identity)
+        self.stop()
+        await asyncio.sleep(DOWN_S)
+        self.identity = f"{self.identity.split('.')[0]}.{self.life}"
+        self.born = int(time.time() * 1000)
+        self.sequence = 0
+        self.free = asyncio.Semaphore(self.slots)
+        self.running = self.waiting = 0
+        await self.start()
 
     async def start(self):
         await self.listen(self.ip, 8628)
@@ -269,26 +288,38 @@
             writer.write(message("HTTP/1.1 503 X", [*named, ("Not-Executed", "1")]))
             return True
         deadline = time.monotonic() + int(fields.get("deadline-ms", "30000")) / 1000
+        life, free = self.life, self.free
         self.waiting += 1
         try:
-            await asyncio.wait_for(self.free.acquire(), deadline - time.monotonic())
+            await asyncio.wait_for(free.acquire(), deadline - time.monotonic())
         except TimeoutError:
             writer.write(message("HTTP/1.1 503 X", [*named, ("Not-Executed", "1")]))
             return True
         finally:
-            self.waiting -= 1
+            if life == self.life:
+                self.waiting -= 1
+        if life != self.life:
+            return False
         self.running += 1
         run = {
             "id": request_id,
             "path": path,
             "body": hashlib.md5(body).hexdigest(),
             "caller": fields.get("caller-service"),
+            "key": fields.get("x-api-key"),
+            "tenant": fields.get("tenant-id"),
             "deadline_ms": fields.get("deadline-ms"),
             "service": self.service,
         }
         self.runs.append(run | {"at": time.monotonic()})
         self.record("run", target=self.identity, **run)
         try:
+            if path == self.crash_path:
+                await asyncio.sleep(CRASH_S)
+                if life == self.life:
+                    self.life += 1
+                    self.crash_task = asyncio.create_task(self.crash())
+                return False
             left = deadline - time.monotonic()
             hangs = self.random.random() < self.hang_share
             work_s = left if hangs else min(self.work_s, left)
@@ -300,8 +331,9 @@
                 await asyncio.sleep(max(0.0, min(0.02, end - time.monotonic())))
             status = 504 if time.monotonic() >= deadline else 200
         finally:
-            self.running -= 1
-            self.free.release()
+            if life == self.life:
+                self.running -= 1
+                free.release()
         content = f"{self.identity} {request_id}".encode() * 20
         seal = f"{self.identity}.{request_id}.{len(content)}.{zlib.crc32(content)}"
         fields = [("Request-Id", request_id), self._load(), ("Response-Seal", seal)]
@@ -467,7 +499,9 @@
         # Traffic starts some seconds after the machines.
         await asyncio.sleep(5)
 
-    async def call(self, ip, path, method="GET", body=b"", deadline_ms=1500):
+    async def call(
+        self, ip, path, method="GET", body=b"", deadline_ms=1500, headers=()
+    ):
         """Send one request on a connection of its own; return its id and the status.
 
         The status is 0 when there was no complete answer.
@@ -481,7 +515,7 @@
                 reader, writer = await asyncio.open_connection(ip, 8629)
                 try:
                     fields = [("Host", HOST), ("Request-Id", request_id)]
-                    fields.append(("Deadline-Ms", str(deadline_ms)))
+                    fields += [("Deadline-Ms", str(deadline_ms)), *headers]
                     writer.write(message(f"{method} {path} HTTP/1.1", fields, body))
                     line, fields = await read_head(reader)
                     await read_body(reader, fields)
