--- a/review/standins_2.py
+++ b/review/standins_2.py
@@ -220,9 +220,9 @@
     hang_share : float
         Share of the requests that the target begins to run and does not finish: it
         answers 504 at their deadline. Its health check stays good.
-    crash_path : str or None
-        Path of the request that ends the target `CRASH_S` after it has begun to run it.
-        The target is back `DOWN_S` later, with another identity.
+    crash_mark : bytes or None
+        A request with these bytes in its body ends the target `CRASH_S` after it has
+        begun to run it. The target is back `DOWN_S` later, with another identity.
     runs : list of dict
         Every request that it began to run.
     """
@@ -242,7 +242,7 @@
         self.running = self.waiting = 0
         self.runs = []
         self.beats = None
-        self.crash_path = None
+        self.crash_mark = None
         self.crashes = []
         # Number of the process of the target; those before it have ended.
         self.life = 0
@@ -314,7 +314,7 @@
         self.runs.append(run | {"at": time.monotonic()})
         self.record("run", target=self.identity, **run)
         try:
-            if path == self.crash_path:
+            if self.crash_mark is not None and self.crash_mark in body:
                 await asyncio.sleep(CRASH_S)
                 if life == self.life:
                     self.life += 1
