Store stand-in: it can be restored from a copy of any age, in a new era

The stand-in sends Store-Era with each response. A restore sets the rows and the counter back to those of that many seconds ago, gives the versions out again, and answers a feed with 410 whose version is ahead of the counter or behind the copy. It returns what the operator has to write again. Rows that a transaction removes stay visible to the feed as removed, as on the platform; the tests that looked at the rows ask for the keys.

--- a/goldcresthoist/node/tests/test_path.py
+++ b/goldcresthoist/node/tests/test_path.py
@@ -287,7 +287,7 @@
         directory = self.site.nodes[self.first].directory
         await wait_until(lambda: self.second not in directory.members)
         self.assertIn(self.third, directory.members)
-        rows = {key for table, key in self.site.store.rows if table == MEMBER_TABLE}
+        rows = self.site.store.keys(MEMBER_TABLE)
         self.assertNotIn(MEMBER_PREFIX + self.second, rows)
         self.assertIn(MEMBER_PREFIX + self.third, rows)
 
--- a/goldcresthoist/tests/standins/platform_store.py
+++ b/goldcresthoist/tests/standins/platform_store.py
@@ -4,10 +4,14 @@
 ``POST /-/faults`` sets ``down`` (every call fails with status 503), ``silent`` (calls
 get no response), ``lose_answers`` (that many writes take effect without a response) and
 ``delay_s``. ``forget`` deletes the rows of a table, as an outage of the store may.
+``restore`` replaces all rows by those of that many seconds ago.
 """
 
 import argparse
 import asyncio
+from collections import deque
+from dataclasses import dataclass
+from time import monotonic
 
 from aiohttp import web
 
@@ -16,15 +20,41 @@
 POLL_INTERVAL_S = 0.01
 # Maximum number of rows in a response of the platform.
 MAX_ROWS = 500
+# Number of states, one after each transaction, to which the store can be restored.
+MAX_COPIES = 1000
+
+
+@dataclass(frozen=True, slots=True)
+class _Copy:
+    """State of the store from a monotonic time on."""
+
+    taken_at: float
+    version: int
+    rows: dict
 
 
 class PlatformStore:
-    """HTTP server with the rows and the calls that the daemons use."""
+    """HTTP server with the rows and the calls that the daemons use.
+
+    Attributes
+    ----------
+    era : int or None
+        Number of times that the store was restored, plus 1. It is sent as ``Store-Era``
+        with each response; None sends no such header.
+    version : int
+        Version of the last transaction.
+    oldest_version : int
+        Version from which the changes are known; it is that of the copy after a
+        restore.
+    """
 
     def __init__(self):
+        self.era = 1
         self.version = 0
+        self.oldest_version = 0
         # (value, version, removed) by (table, key).
         self.rows = {}
+        self.copies = deque([_Copy(float("-inf"), 0, {})], MAX_COPIES)
         self.faults = {}
         self.calls = 0
         # Transports of the connections on which calls arrived, and of those that fell
@@ -36,6 +66,7 @@
     async def start(self, host, port):
         """Start to listen."""
         app = web.Application()
+        app.on_response_prepare.append(self._add_era)
         app.router.add_post("/-/faults", self._set_faults)
         app.router.add_get("/rows-get", self._get)
         app.router.add_get("/rows-feed", self._feed)
@@ -50,13 +81,60 @@
 
     def put(self, table, key, value):
         """Write a row as an operator does; ``value`` is base64 text."""
-        self.version += 1
-        self.rows[(table, key)] = (value, self.version, False)
+        self._commit({(table, key): value}, ())
 
     def remove(self, table, key):
         """Remove a row as an operator does; the change feed shows its removal."""
+        self._commit({}, ((table, key),))
+
+    def keys(self, table):
+        """Return the keys of the rows of a table."""
+        rows = self.rows.items()
+        return {key for (name, key), row in rows if name == table and not row[2]}
+
+    def restore(self, age_s):
+        """Replace all rows by those of ``age_s`` seconds ago, in a new era.
+
+        Returns
+        -------
+        dict
+            What the operator has to write again: the values of the rows of the table
+            ``op`` that are lost, by key; None for a row that had been removed.
+        """
+        latest = monotonic() - age_s
+        copy = next(
+            (item for item in reversed(self.copies) if item.taken_at <= latest),
+            self.copies[0],
+        )
+        lost = {
+            key: None if removed else value
+            for (table, key), (value, version, removed) in self.rows.items()
+            if table == "op" and version > copy.version
+        }
+        while self.copies and self.copies[-1] is not copy:
+            self.copies.pop()
+        self.rows = dict(copy.rows)
+        self.version = self.oldest_version = copy.version
+        if self.era is not None:
+            self.era += 1
+        return lost
+
+    def write_again(self, lost):
+        """Write what `restore` returned, as the operator does."""
+        for key, value in lost.items():
+            if value is None:
+                self.remove("op", key)
+            else:
+                self.put("op", key, value)
+
+    def _commit(self, values, removed_keys):
+        """Write and remove rows, each given by (table, key), in one transaction."""
         self.version += 1
-        self.rows[(table, key)] = ("", self.version, True)
+        for key, value in values.items():
+            self.rows[key] = (value, self.version, False)
+        for key in removed_keys:
+            self.rows[key] = ("", self.version, True)
+        self.copies.append(_Copy(monotonic(), self.version, dict(self.rows)))
 
     def silence_connections(self):
         """Let all open connections deliver nothing any more; new ones work."""
@@ -67,8 +145,14 @@
         table = self.faults.pop("forget", None)
         for key in [key for key in self.rows if key[0] == table]:
             del self.rows[key]
+        if (age_s := self.faults.pop("restore", None)) is not None:
+            return web.json_response(self.restore(age_s))
         return web.Response()
 
+    async def _add_era(self, request, response):
+        if self.era is not None:
+            response.headers["Store-Era"] = str(self.era)
+
     async def _apply_faults(self, request):
         self.calls += 1
         self.transports.add(request.transport)
@@ -99,6 +183,8 @@
         loop = asyncio.get_running_loop()
         end_time = loop.time() + int(request.query["wait_ms"]) / 1000
         while True:
+            if not self.oldest_version <= after <= self.version:
+                raise web.HTTPGone
             changed = [
                 (key, row)
                 for key, row in self.rows.items()
@@ -117,12 +203,13 @@
         body = await request.json()
         for row in body["expect"]:
             known = self.rows.get((row["table"], row["key"]))
-            if (known[1] if known else 0) != row["ver"]:
+            exists = known is not None and not known[2]
+            if (known[1] if exists else 0) != row["ver"]:
                 return web.json_response({"ver": self.version}, status=412)
-        for row in body["upserts"]:
-            self.put(row["table"], row["key"], row["value"])
-        for row in body["remove"]:
-            self.rows.pop((row["table"], row["key"]), None)
+        self._commit(
+            {(row["table"], row["key"]): row["value"] for row in body["upserts"]},
+            [(row["table"], row["key"]) for row in body["remove"]],
+        )
         if self.faults.get("lose_answers", 0) > 0:
             self.faults["lose_answers"] -= 1
             request.transport.abort()
