Observe the era of the store, and the row from which a configuration was read

A restore of the store could not be seen in logs or metrics: 'store history gone' came only where the counter was still behind the cursor. The store client reads Store-Era of each response; the line 'store restored' has both eras, the cursor and the version in force, 'configuration' the era and the row's version. Nothing acts on the era yet.

--- a/goldcresthoist/fleet/configuration.py
+++ b/goldcresthoist/fleet/configuration.py
@@ -118,6 +118,8 @@
         Called with each new `RoutingTable`.
     on_store_recovered : callable or None
         Called without arguments when the store responds again after failed calls.
+    era : int
+        Newest known era of the store; 0 until one is known.
     failures : int
         Consecutive failed calls to the store.
     watching_store : bool
@@ -160,6 +162,7 @@
         self.drained = DrainedDomains()
         self.newer_known_since = None
         self.shortfall_since = None
+        self.era = 0
         self.failures = 0
         self.watching_store = False
         self.fetch_task = None
@@ -215,6 +218,19 @@
         """Return the `ConfigurationContent` to send to a daemon that fetches it."""
         return ConfigurationContent(self.version, self._age_ms(), self.content)
 
+    def set_era(self, era):
+        """Take note of a newer era of the store."""
+        if self.era:
+            self.counters.add("store_restores")
+            self.log.event(
+                "store restored",
+                era=era,
+                was=self.era,
+                cursor=self.cursor,
+                version=self.version,
+            )
+        self.era = era
+
     async def _run(self):
         while True:
             if not self._should_watch(monotonic()):
@@ -327,16 +343,17 @@
             self.drained.apply_changes(page)
         for row in page.rows:
             if row.key == CONFIGURATION_KEY and not row.removed:
-                self.newest_malformed = not self._apply(row.value)
+                self.newest_malformed = not self._apply(row.value, row.version)
         responded_at = monotonic() - self.pauses.input_age_s()
         if not self.newest_malformed:
             self.confirmed_at = responded_at
         return responded_at
 
-    def _apply(self, content):
+    def _apply(self, content, row_version=None):
         """Put a configuration in force unless it is older; return whether it is valid.
 
-        A malformed one changes nothing.
+        A malformed one changes nothing. ``row_version`` is that of its row, for the
+        log, and None when another daemon has sent the configuration.
         """
         try:
             table = decode_configuration(content)
@@ -354,6 +371,8 @@
             was=self.version,
             routes=count,
             behind_s=behind_s,
+            era=self.era,
+            row=row_version,
         )
         if table.unknown:
             self.log.event(
--- a/goldcresthoist/node/assembly.py
+++ b/goldcresthoist/node/assembly.py
@@ -207,6 +207,7 @@
         self.quotas.members_known = lambda: (
             self.registration.rows_loaded.is_set() or len(self.directory.members) > 1
         )
+        self.store.on_era = self.watch.set_era
         self.watch.on_routing_table = self._apply_table
         self.watch.drained.on_change = self._apply_drained_domains
         self.watch.on_store_recovered = self.registration.store_recovered
@@ -244,6 +245,7 @@
         self.counters.gauge(
             "configuration_behind_s", lambda: self.watch.behind_s(monotonic())
         )
+        self.counters.gauge("store_era", lambda: self.watch.era)
         self.counters.gauge("configuration_unknown", self._count_unknown)
         self.counters.gauge("quota_groups_counted", lambda: len(self.quotas.counter))
         self.counters.count_from("log_lines_dropped", lambda: self.log.dropped)
--- a/goldcresthoist/node/status.py
+++ b/goldcresthoist/node/status.py
@@ -21,6 +21,8 @@
         Whether the newest configuration in the store is malformed.
     configuration_unknown : tuple of str
         Kinds and fields of the configuration that this release does not know.
+    store_era : int
+        Newest known era of the platform's store; 0 until one is known.
     upstream_state : str
         "usable", or the reason for which calls are refused.
     warm_up : str
@@ -39,6 +41,7 @@
     configuration_malformed: bool
     configuration_unknown: tuple[str, ...]
     watching_store: bool
+    store_era: int
     members: int
     upstream: str
     upstream_state: str
@@ -67,6 +70,7 @@
             configuration_malformed=watch.newest_malformed,
             configuration_unknown=watch.table.unknown if watch.table else (),
             watching_store=watch.watching_store,
+            store_era=watch.era,
             members=len(node.directory.members),
             upstream=node.own.identity or "",
             upstream_state=node.server.refusal_reason() or "usable",
--- a/goldcresthoist/platform/store.py
+++ b/goldcresthoist/platform/store.py
@@ -12,6 +12,7 @@
 from goldcresthoist.access.gate import CallGate, GateLimits
 from goldcresthoist.addresses import split_address
 from goldcresthoist.clock import monotonic
+from goldcresthoist.http_fields import header_value
 from goldcresthoist.platform.errors import (
     HistoryGone,
     InvalidMessage,
@@ -52,6 +53,9 @@
     concurrency=4, failure_threshold=2, first_probe_delay_s=0.15, max_probe_delay_s=1.0
 )
 
+ERA_HEADER = b"store-era"
+MAX_ERA_DIGITS = 15
+
 # HTTP status codes.
 TOO_MANY_REQUESTS = 429
 PRECONDITION_FAILED = 412
@@ -84,11 +88,14 @@
     next_key : str
         Key at which the next page starts; empty on the last page. It is the key of the
         last row of this page, so that row is returned twice.
+    era : int
+        Era of the store to which the versions belong; see `StoreClient`.
     """
 
     rows: tuple[Row, ...]
     version: int
     next_key: str = ""
+    era: int = 0
 
 
 class _Row(msgspec.Struct, frozen=True):
@@ -115,12 +122,23 @@
     malformed. ``timeout_s`` limits the time of a call in seconds, including the wait
     for its admission by the gate and for a connection.
 
+    The store may be restored from a copy that is some seconds old. It then begins a new
+    era, whose number is in the header ``Store-Era`` of each response. Versions are
+    given out again, so those of different eras cannot be compared.
+
     Parameters
     ----------
     address : str
         ``"ip:port"``.
     counters
         Has ``add(name, amount=1, **labels)``.
+
+    Attributes
+    ----------
+    era : int
+        Newest known era; 0 until a response has named one.
+    on_era : callable
+        Called with each newer era, before the response that names it is processed.
     """
 
     def __init__(self, address, counters):
@@ -132,6 +150,8 @@
         # none; the last one is used first.
         self.idle = {}
         self.connections = set()
+        self.era = 0
+        self.on_era = lambda era: None
 
     async def rows(self, table, first="", timeout_s=CALL_TIMEOUT_S):
         """Return a `RowPage` with the rows of a table from the key ``first`` on.
@@ -144,8 +164,7 @@
         query = {"table": table, "part": "", "limit": MAX_PAGE_ROWS}
         if first:
             query["from"] = first
-        answer = await self._call("GET", "rows-get", query, None, timeout_s)
-        return self._to_page(answer)
+        return await self._read_page("rows-get", query, timeout_s)
 
     async def wait_for_changes(self, table, after, wait_s):
         """Wait for changes to a table after a version; return them as a `RowPage`.
@@ -162,9 +181,7 @@
         """
         query = {"table": table, "after": after, "wait_ms": int(wait_s * 1000)}
         timeout_s = wait_s + LONG_POLL_MARGIN_S
-        return self._to_page(
-            await self._call("GET", "rows-feed", query, None, timeout_s)
-        )
+        return await self._read_page("rows-feed", query, timeout_s)
 
     async def put(self, table, values, timeout_s=CALL_TIMEOUT_S, urgent=False):
         """Write rows of one table unconditionally.
@@ -224,11 +241,16 @@
         # This lets the event loop call `connection_lost` of each connection.
         await asyncio.sleep(0)
 
+    async def _read_page(self, name, query, timeout_s):
+        answer, era = await self._call("GET", name, query, None, timeout_s)
+        return self._to_page(answer, era)
+
     async def _call(self, method, name, query, body, timeout_s, urgent=False):
+        """Make one call; return its `_Response` and the era of the store."""
         deadline = asyncio.get_running_loop().time() + timeout_s
         try:
             async with self.gate.admit(deadline, urgent):
-                status, content = await self._exchange(
+                status, content, era = await self._exchange(
                     method, name, query, body, deadline
                 )
         except CallNotSent as exc:
@@ -245,12 +267,12 @@
         if status != 200:
             raise StoreRefused(f"{name}: the store responded with status {status}")
         try:
-            return _decoder.decode(content)
+            return _decoder.decode(content), era
         except (msgspec.MsgspecError, RecursionError) as exc:
             raise InvalidMessage(f"malformed response to {name}: {exc}") from exc
 
     async def _exchange(self, method, name, query, body, deadline):
-        """Make one call; return the status and the body of the response.
+        """Make one call; return the status, the body and the era of the response.
 
         Raises
         ------
@@ -292,13 +314,28 @@
             connection.close()
             raise
         status = answer.status
+        era = self._read_era(answer.headers)
         if connection.release():
             self.idle[connection] = monotonic()
         if status == TOO_MANY_REQUESTS:
             self.gate.reduce_concurrency()
         if status in (TOO_MANY_REQUESTS, 503):
             raise CallNotSent(f"the store responded with status {status}")
-        return status, b"".join(parts)
+        return status, b"".join(parts), era
+
+    def _read_era(self, headers):
+        """Return the era that a response names, or the newest one if it names none."""
+        value = header_value(headers, ERA_HEADER)
+        if value is None:
+            return self.era
+        if not value.isdigit() or len(value) > MAX_ERA_DIGITS:
+            self.counters.add("store_eras_malformed")
+            return self.era
+        era = int(value)
+        if era > self.era:
+            self.era = era
+            self.on_era(era)
+        return era
 
     async def _get_connection(self, deadline):
         """Return a connection, and the seconds for which it was idle; None if new."""
@@ -332,7 +369,7 @@
         self.connections.discard(connection)
         self.idle.pop(connection, None)
 
-    def _to_page(self, answer):
+    def _to_page(self, answer, era):
         rows = []
         for item in answer.rows:
             try:
@@ -343,4 +380,4 @@
                 continue
             rows.append(Row(item.key, value, item.ver, item.deleted))
         next_key = answer.rows[-1].key if answer.truncated and answer.rows else ""
-        return RowPage(tuple(rows), answer.ver, next_key)
+        return RowPage(tuple(rows), answer.ver, next_key, era)
--- a/goldcresthoist/platform/tests/test_store.py
+++ b/goldcresthoist/platform/tests/test_store.py
@@ -85,6 +85,30 @@
         with self.assertRaises(WriteConflict):
             await self.client.remove(TABLE, "a", version)
 
+    async def test_each_response_tells_the_era(self):
+        """Guards against a restore of the store that nobody notices.
+
+        A failed call may be the first one after it.
+        """
+        eras = []
+        self.client.on_era = eras.append
+        self.assertEqual((await self.client.rows(TABLE)).era, 1)
+        self.store.restore(60.0)
+        self.store.faults = {"down": True}
+        with self.assertRaises(StoreUnavailable):
+            await self.client.rows(TABLE)
+        self.assertEqual((self.client.era, eras), (2, [1, 2]))
+
+    async def test_odd_eras_are_ignored(self):
+        """Guards against a header that keeps daemons from reading the store."""
+        await self.client.rows(TABLE)
+        for era in ("x", "-1", "9" * 5000, ""):
+            self.store.era = era
+            self.assertEqual((await self.client.rows(TABLE)).era, 1)
+        self.store.era = None
+        self.assertEqual((await self.client.rows(TABLE)).era, 1)
+        self.assertEqual(self.counters.total("store_eras_malformed"), 4)
+
     async def test_refused_call_has_no_effect(self):
         """Guards against a write that is reported as possibly done.
 
--- a/goldcresthoist/tests/soak/daemon.py
+++ b/goldcresthoist/tests/soak/daemon.py
@@ -118,9 +118,9 @@
 def _disable_order_of_versions():
     apply = ConfigurationWatch._apply
 
-    def apply_any(self, content):
+    def apply_any(self, *args):
         self.version = -1
-        return apply(self, content)
+        return apply(self, *args)
 
     ConfigurationWatch._apply = apply_any
 
