Bind the cursor of the configuration watch to an era of the store

Cause: after a restore the store gives versions out again. A watcher went on asking for the changes after its cursor, a version of the lost history. Once the counter had reached it the store answered 200, and changes with versions up to the cursor were never seen. 410 came only to those who asked before that. The watcher then confirmed its old version to the others as the newest.

Now a cursor is a StorePosition, an era and a version. A page of changes whose era differs from the cursor's is dropped and the rows are read; a response of an era before the newest one counts as lost, so that a write that it acknowledges is repeated.

--- a/goldcresthoist/fleet/configuration.py
+++ b/goldcresthoist/fleet/configuration.py
@@ -110,8 +110,8 @@
         Version of the configuration; -1 until the first one is known.
     content : bytes
         The configuration, compressed with zlib; empty until the first one is known.
-    cursor : int or None
-        Version of the store up to which its changes have been processed; None when the
+    cursor : StorePosition or None
+        Position of the store up to which its changes have been processed; None when the
         rows have to be read again.
     drained : DrainedDomains
     on_routing_table : callable or None
@@ -226,7 +226,7 @@
                 "store restored",
                 era=era,
                 was=self.era,
-                cursor=self.cursor,
+                cursor=self.cursor and self.cursor.version,
                 version=self.version,
             )
         self.era = era
@@ -295,34 +295,40 @@
     async def _poll_store(self):
         """Make one call to the store and process its response.
 
-        When the store no longer has the changes since `cursor`, the next call reads the
-        rows again.
+        When the store no longer has the changes since `cursor`, or has been restored
+        since, the next call reads the rows again.
 
         Raises
         ------
         StoreError, PlatformFormatError
             When the store did not respond as expected.
         """
-        is_complete = self.cursor is None or self.table is None
+        cursor = self.cursor
+        is_complete = cursor is None or self.table is None
         try:
             if is_complete:
                 page = await self.store.rows(CONFIGURATION_TABLE, CONFIGURATION_KEY)
             else:
                 page = await self.store.wait_for_changes(
-                    CONFIGURATION_TABLE, self.cursor, LONG_POLL_S
+                    CONFIGURATION_TABLE, cursor.version, LONG_POLL_S
                 )
         except HistoryGone:
-            self.log.event("store history gone", cursor=self.cursor)
+            self.log.event("store history gone", cursor=cursor.version)
             self.cursor = None
             return
         if self.failures:
             self.log.event("store regained", failures=self.failures)
             if self.on_store_recovered is not None:
                 self.on_store_recovered()
+        if not is_complete and page.era != cursor.era:
+            # Changes up to the version of the cursor are not in the page, although they
+            # may be new ones with versions that were given out again.
+            self.cursor = None
+            return
         await self._process_page(page, is_complete)
 
     async def _process_page(self, page, is_complete=False):
-        self.cursor = max(page.version, self.cursor or 0)
+        self.cursor = max(page.position, self.cursor or page.position)
         self.watched_at = self._apply_page(page, is_complete)
         if page.rows:
             self._send_version_report()
--- a/goldcresthoist/fleet/tests/builders.py
+++ b/goldcresthoist/fleet/tests/builders.py
@@ -60,6 +60,8 @@
         Raised by each call while it is set.
     puts, reads : int
         Number of calls of `put` and of `rows`.
+    era : int
+        Era of the responses.
     """
 
     def __init__(self, rows=()):
@@ -67,6 +69,7 @@
         self.versions = Counter()
         self.error = None
         self.puts = self.reads = 0
+        self.era = 0
 
     async def put(self, table, values, timeout_s=1.0, urgent=False):
         """Write rows, or raise ``error``."""
@@ -95,7 +98,11 @@
             Row(key, self.values[key], self.versions[key], False)
             for key in keys[:PAGE_ROWS]
         ]
-        return RowPage(tuple(rows), 1, next_key)
+        return RowPage(tuple(rows), 1, next_key, self.era)
+
+    async def wait_for_changes(self, table, after, wait_s):
+        """Return a page without changes."""
+        return RowPage((), after, era=self.era)
 
 
 def make_record(ip, service="ledger", born_ms=1):
--- a/goldcresthoist/fleet/tests/test_watch.py
+++ b/goldcresthoist/fleet/tests/test_watch.py
@@ -234,6 +234,23 @@
         self.assertEqual(self.watch.version, 9)
         self.assertEqual(store.reads, 1)
 
+    async def test_rows_are_read_again_in_each_era(self):
+        """Guards against changes that a cursor from before a restore skips.
+
+        The changes after it are in the page of the new era, the one before is not.
+        """
+        store = FakeStore({"config": make_content(5)})
+        self.watch.store = store
+        store.era = 1
+        await self.watch._poll_store()
+        store.values["config"] = make_content(6)
+        store.era = 2
+        await self.watch._poll_store()
+        self.assertIsNone(self.watch.cursor)
+        await self.watch._poll_store()
+        self.assertEqual(self.watch.version, 6)
+        self.assertEqual(store.reads, 2)
+
     async def test_report_with_another_address_is_ignored(self):
         """Guards against a daemon that sends reports in the name of other watchers."""
         self.channel.deliver(VersionReport("10.0.0.5", 9, 10), "10.0.0.6")
--- /dev/null
+++ b/goldcresthoist/node/tests/test_restored_store.py
@@ -0,0 +1,59 @@
+"""Tests with a store that is restored from a copy, so that versions are used again."""
+
+import asyncio
+import unittest
+from time import monotonic
+
+from goldcresthoist.node.tests.loopback_cluster import (
+    LoopbackCluster,
+    configuration,
+    wait_until,
+)
+
+# A configuration is to be in force this long after it was written.
+APPLY_S = 2.0
+
+
+class RestoredStoreTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self):
+        self.cluster = LoopbackCluster(["listen", "listen", "ledger", "ledger"])
+        self.store = self.cluster.store
+        await self.cluster.start()
+
+    async def asyncTearDown(self):
+        await self.cluster.stop()
+
+    def versions(self):
+        """Return the version of the configuration at each daemon."""
+        return [node.watch.version for node in self.cluster.nodes.values()]
+
+    async def configure(self, version):
+        """Write a configuration and wait until all watchers have read it."""
+        self.cluster.configure(configuration(version=version))
+        nodes = self.cluster.nodes.values()
+        await wait_until(
+            lambda: all(
+                node.watch.cursor.version == self.store.version
+                for node in nodes
+                if node.watch.watching_store
+            )
+        )
+
+    async def test_change_is_in_force_in_time(self):
+        """Guards against requests handled as an older configuration says.
+
+        The store had lost two changes. Before any daemon called it, the last of them
+        was written again, and a new one got the version up to which all daemons had
+        seen the changes.
+        """
+        copied_at = monotonic()
+        await asyncio.sleep(0.01)
+        for version in (2, 3):
+            await self.configure(version)
+        before = self.store.version
+        lost = self.store.restore(monotonic() - copied_at)
+        self.store.write_again(lost)
+        self.cluster.configure(configuration(version=4))
+        self.assertEqual(self.store.version, before)
+        await asyncio.sleep(APPLY_S)
+        self.assertEqual(self.versions(), [4] * 4)
--- a/goldcresthoist/platform/__init__.py
+++ b/goldcresthoist/platform/__init__.py
@@ -31,7 +31,7 @@
     WriteConflict,
 )
 from goldcresthoist.platform.settings import Bounds, NodeSettings
-from goldcresthoist.platform.store import Row, RowPage, StoreClient
+from goldcresthoist.platform.store import Row, RowPage, StoreClient, StorePosition
 
 __all__ = [
     "CONFIGURATION_KEY",
@@ -50,6 +50,7 @@
     "RowPage",
     "StoreClient",
     "StoreError",
+    "StorePosition",
     "StoreRefused",
     "StoreUnavailable",
     "WriteConflict",
--- a/goldcresthoist/platform/store.py
+++ b/goldcresthoist/platform/store.py
@@ -28,7 +28,7 @@
     UpstreamError,
 )
 
-__all__ = ["Row", "RowPage", "StoreClient"]
+__all__ = ["Row", "RowPage", "StoreClient", "StorePosition"]
 
 CONNECT_TIMEOUT_S = 1.0
 # The kernel closes a connection whose peer has acknowledged nothing for about this
@@ -62,6 +62,17 @@
 GONE = 410
 
 
+@dataclass(frozen=True, slots=True, order=True)
+class StorePosition:
+    """A version of the store in one of its eras; a position in a later era is later.
+
+    Versions are given out again in each era, so they are compared only within one.
+    """
+
+    era: int
+    version: int
+
+
 @dataclass(frozen=True, slots=True)
 class Row:
     """One row.
@@ -97,6 +108,11 @@
     next_key: str = ""
     era: int = 0
 
+    @property
+    def position(self):
+        """The `StorePosition` of the page."""
+        return StorePosition(self.era, self.version)
+
 
 class _Row(msgspec.Struct, frozen=True):
     key: str = ""
@@ -119,8 +135,9 @@
     """Calls the store through a `CallGate`.
 
     Each call raises `InvalidMessage`, which is no `StoreError`, when the response is
-    malformed. ``timeout_s`` limits the time of a call in seconds, including the wait
-    for its admission by the gate and for a connection.
+    malformed, and `OutcomeUnknown` when it is one of an earlier era. ``timeout_s``
+    limits the time of a call in seconds, including the wait for its admission by the
+    gate and for a connection.
 
     The store may be restored from a copy that is some seconds old. It then begins a new
     era, whose number is in the header ``Store-Era`` of each response. Versions are
@@ -260,6 +277,11 @@
             self.counters.add("store_calls", call=name, outcome="no-answer")
             raise OutcomeUnknown(f"{name}: {exc}") from exc
         self.counters.add("store_calls", call=name, outcome=str(status))
+        if era < self.era:
+            # What the call read or wrote may be lost.
+            raise OutcomeUnknown(
+                f"{name}: the response is of era {era}, not {self.era}"
+            )
         if status == PRECONDITION_FAILED:
             raise WriteConflict(f"{name}: a row has another version than expected")
         if status == GONE:
--- a/goldcresthoist/platform/tests/test_store.py
+++ b/goldcresthoist/platform/tests/test_store.py
@@ -99,6 +99,19 @@
             await self.client.rows(TABLE)
         self.assertEqual((self.client.era, eras), (2, [1, 2]))
 
+    async def test_response_of_an_earlier_era_counts_as_lost(self):
+        """Guards against a lost write that is taken for stored, and old rows for new.
+
+        The response was under way while the store was restored.
+        """
+        self.store.era = 2
+        await self.client.rows(TABLE)
+        self.store.era = 1
+        with self.assertRaises(OutcomeUnknown):
+            await self.client.put(TABLE, {"a": b"1"})
+        with self.assertRaises(OutcomeUnknown):
+            await self.client.rows(TABLE)
+
     async def test_odd_eras_are_ignored(self):
         """Guards against a header that keeps daemons from reading the store."""
         await self.client.rows(TABLE)
