Order sets of drained domains by the era of the store

Callers would have reached upstreams in a failure domain that the operator drains, and a drain that was taken back would have gone on, until the store's counter had passed the version of the last change before a restore.

Cause: DrainedDomains ordered its sets by versions of the store, in rows, changes and version reports, and a restored store gives smaller versions.

Now the position of a set is an era and a version, and version reports carry the era (an earlier release sends and reads none). Changes count only for a set of their own era. Domains that were drained and are not listed in the copy stay drained for 10 s, in which the operator writes them again, unless a change of their row is seen: otherwise requests would go there until then.

--- a/goldcresthoist/fleet/configuration.py
+++ b/goldcresthoist/fleet/configuration.py
@@ -21,6 +21,7 @@
     OutcomeUnknown,
     PlatformFormatError,
     StoreError,
+    StorePosition,
     decode_configuration,
 )
 from goldcresthoist.supervision import keep_running
@@ -398,6 +399,7 @@
     async def _report_periodically(self):
         while True:
             await asyncio.sleep(REPORT_INTERVAL_S * random.uniform(0.9, 1.1))
+            self.drained.expire_kept()
             if self.watching_store:
                 self._send_version_report()
 
@@ -408,8 +410,9 @@
             self.version,
             self._age_ms(),
             _age_ms(self.watched_at),
-            self.drained.revision,
-            tuple(sorted(self.drained.domains)),
+            self.drained.position.version,
+            tuple(sorted(self.drained.listed)),
+            self.drained.position.era,
         )
         self.directory.channel.send(report, self.directory.other_addresses())
 
@@ -429,7 +432,10 @@
             watched_at = sent_at - message.watch_age_ms / 1000.0
         watched_at = max(watched_at, confirmed_at)
         self.reports[message.ip] = _WatcherReport(now, watched_at)
-        self.drained.merge(message.drained_domains, message.domains_revision)
+        self.drained.merge(
+            message.drained_domains,
+            StorePosition(message.domains_era, message.domains_revision),
+        )
         if message.version == self.version:
             self.confirmed_at = max(self.confirmed_at, confirmed_at)
         elif message.version > self.version and now - confirmed_at < REPORT_VALIDITY_S:
--- a/goldcresthoist/fleet/drained_domains.py
+++ b/goldcresthoist/fleet/drained_domains.py
@@ -1,11 +1,19 @@
 """The failure domains to which the operator wants nothing to be sent."""
 
-from goldcresthoist.platform import DRAINED_DOMAIN_PREFIX, decode_drained_domain
+from goldcresthoist.clock import monotonic
+from goldcresthoist.platform import (
+    DRAINED_DOMAIN_PREFIX,
+    StorePosition,
+    decode_drained_domain,
+)
 
 __all__ = ["DrainedDomains"]
 
 # First key after those with the prefix.
 _END_KEY = DRAINED_DOMAIN_PREFIX[:-1] + chr(ord(DRAINED_DOMAIN_PREFIX[-1]) + 1)
+# When the store has been restored, the operator writes again what is lost. Domains that
+# were drained before and are not listed any more stay drained for this time.
+KEPT_S = 10.0
 
 
 class DrainedDomains:
@@ -16,18 +24,30 @@
 
     Attributes
     ----------
-    domains : frozenset of str
-    revision : int
-        Version of the store at the last change of the set; -1 while no set is known.
+    listed : frozenset of str
+        Domains that the store lists.
+    kept : frozenset of str
+        Domains that were drained before the store was restored, and are drained until
+        the monotonic time ``kept_until`` although the store does not list them.
+    position : StorePosition
+        Position of the store at the last change of ``listed``, or at the first page of
+        its era. The version is -1 while no set is known.
     on_change : callable or None
         Called without arguments after each change of ``domains``.
     """
 
     def __init__(self):
-        self.domains = frozenset()
-        self.revision = -1
+        self.listed = frozenset()
+        self.kept = frozenset()
+        self.kept_until = 0.0
+        self.position = StorePosition(0, -1)
         self.on_change = None
 
+    @property
+    def domains(self):
+        """The drained domains, as a frozenset."""
+        return self.listed | self.kept
+
     def apply_rows(self, page):
         """Apply a `RowPage` that was read from a key before those of the domains.
 
@@ -35,48 +55,64 @@
         older than the known set.
         """
         incomplete = page.next_key and page.next_key < _END_KEY
-        if incomplete or page.version < self.revision:
+        if incomplete or page.position < self.position:
             return
-        domains = frozenset(
+        listed = frozenset(
             domain
             for row in page.rows
             if not row.removed and (domain := decode_drained_domain(row)) is not None
         )
-        # The revision stays that of the last change as long as nothing has changed.
-        if domains != self.domains or self.revision < 0:
-            self._replace(domains, page.version)
+        # The position stays that of the last change as long as nothing has changed.
+        if (
+            listed != self.listed
+            or self.position.version < 0
+            or page.era > self.position.era
+        ):
+            self._replace(listed, page.position)
 
     def apply_changes(self, page):
         """Apply a `RowPage` with changes of rows, in the order of their versions.
 
-        Changes up to the known revision are ignored: a report of another watcher has
-        brought them. Without a known set they say nothing of the other domains.
+        Changes up to the known position are ignored: a report of another watcher has
+        brought them. Without a set of the same era they say nothing of the other
+        domains.
         """
-        if self.revision < 0:
+        if self.position.version < 0 or page.era != self.position.era:
             return
-        domains, revision = self.domains, self.revision
+        listed, position, kept = self.listed, self.position, self.kept
         for row in sorted(page.rows, key=lambda row: row.version):
-            if row.version <= self.revision:
+            row_position = StorePosition(page.era, row.version)
+            if row_position <= self.position:
                 continue
             if not row.key.startswith(DRAINED_DOMAIN_PREFIX):
                 continue
             domain = row.key.removeprefix(DRAINED_DOMAIN_PREFIX)
-            changed = domains - {domain}
+            kept -= {domain}
+            changed = listed - {domain}
             if not row.removed and decode_drained_domain(row) is not None:
                 changed |= {domain}
-            if changed != domains:
-                domains, revision = changed, row.version
-        if revision != self.revision:
-            self._replace(domains, revision)
+            if changed != listed:
+                listed, position = changed, row_position
+        self._replace(listed, position, kept)
 
-    def merge(self, domains, revision):
+    def merge(self, listed, position):
         """Apply the set that another daemon has reported, if it is newer."""
-        if revision > self.revision:
-            self._replace(frozenset(domains), revision)
-
-    def _replace(self, domains, revision):
-        is_change = domains != self.domains
-        self.domains = domains
-        self.revision = revision
-        if is_change and self.on_change is not None:
+        if position > self.position:
+            self._replace(frozenset(listed), position)
+
+    def expire_kept(self):
+        """Drop the kept domains when their time is over."""
+        if self.kept and monotonic() >= self.kept_until:
+            self._replace(self.listed, self.position, frozenset())
+
+    def _replace(self, listed, position, kept=None):
+        before = self.domains
+        if 0 < self.position.era < position.era:
+            self.kept = before - listed
+            self.kept_until = monotonic() + KEPT_S
+        else:
+            self.kept = (self.kept if kept is None else kept) - listed
+        self.listed = listed
+        self.position = position
+        if self.domains != before and self.on_change is not None:
             self.on_change()
--- a/goldcresthoist/fleet/messages.py
+++ b/goldcresthoist/fleet/messages.py
@@ -64,8 +64,10 @@
     since the store last responded, which is less while the newest version is malformed;
     -1 when it has not, or when the sender runs an earlier release.
 
-    ``drained_domains`` and ``domains_revision`` are those of `DrainedDomains`. The
-    revision is -1 when the sender knows no set or runs an earlier release.
+    ``drained_domains``, ``domains_revision`` and ``domains_era`` are those that
+    `DrainedDomains` has from the store, and the version and era of their position. The
+    version is -1 when the sender knows no set or runs an earlier release, and the era 0
+    when the store names none or the sender runs an earlier release.
     """
 
     ip: str
@@ -74,6 +76,7 @@
     watch_age_ms: int = -1
     domains_revision: int = -1
     drained_domains: tuple[str, ...] = ()
+    domains_era: int = 0
 
 
 class MemberAnnouncement(msgspec.Struct, frozen=True, array_like=True, tag=2):
--- a/goldcresthoist/node/assembly.py
+++ b/goldcresthoist/node/assembly.py
@@ -376,11 +376,14 @@
             self.server.set_warm_up_limit(limit, bounds, bool(self._health_path()))
 
     def _apply_drained_domains(self):
-        domains = self.watch.drained.domains
+        drained = self.watch.drained
+        domains = drained.domains
         self.log.event(
             "drained failure domains",
             domains=sorted(domains),
-            revision=self.watch.drained.revision,
+            revision=drained.position.version,
+            era=drained.position.era,
+            kept=sorted(drained.kept),
         )
         self.server.set_domain_drained(self.settings.failure_domain in domains)
 
--- a/goldcresthoist/node/tests/test_restored_store.py
+++ b/goldcresthoist/node/tests/test_restored_store.py
@@ -1,6 +1,7 @@
 """Tests with a store that is restored from a copy, so that versions are used again."""
 
 import asyncio
+import base64
 import unittest
 from time import monotonic
 
@@ -12,6 +13,8 @@
 
 # A configuration is to be in force this long after it was written.
 APPLY_S = 2.0
+# Value of a row that drains a failure domain.
+DRAIN = base64.b64encode(b"{}").decode()
 
 
 class RestoredStoreTest(unittest.IsolatedAsyncioTestCase):
@@ -57,3 +60,53 @@
         self.assertEqual(self.store.version, before)
         await asyncio.sleep(APPLY_S)
         self.assertEqual(self.versions(), [4] * 4)
+
+    async def wait_for_domains(self, domains):
+        """Wait until all daemons have this set of drained failure domains."""
+        nodes = self.cluster.nodes.values()
+        await wait_until(
+            lambda: all(node.watch.drained.domains == domains for node in nodes)
+        )
+
+    async def test_drain_is_in_force_in_time(self):
+        """Guards against requests to a failure domain that the operator drains.
+
+        The store had lost some changes of the set, so that the new one had a smaller
+        version than the last one before.
+        """
+        copied_at = monotonic()
+        await asyncio.sleep(0.01)
+        for _ in range(2):
+            self.store.put("op", "evacuate/a", DRAIN)
+            await self.wait_for_domains({"a"})
+            self.store.remove("op", "evacuate/a")
+            await self.wait_for_domains(frozenset())
+        before = self.store.version
+        lost = self.store.restore(monotonic() - copied_at)
+        self.store.write_again(lost)
+        self.store.put("op", "evacuate/b", DRAIN)
+        self.assertLess(self.store.version, before)
+        await asyncio.sleep(APPLY_S)
+        nodes = self.cluster.nodes.values()
+        self.assertEqual([node.watch.drained.domains for node in nodes], [{"b"}] * 4)
+
+    async def test_lost_drain_stays_in_force(self):
+        """Guards against requests to a drained domain until its row is back.
+
+        The store had lost the row, and the operator wrote it again a moment later.
+        """
+        copied_at = monotonic()
+        await asyncio.sleep(0.01)
+        self.store.put("op", "evacuate/a", DRAIN)
+        await self.wait_for_domains({"a"})
+        seen = set()
+        for node in self.cluster.nodes.values():
+            drained = node.watch.drained
+            drained.on_change = lambda drained=drained: seen.add(drained.domains)
+        lost = self.store.restore(monotonic() - copied_at)
+        await asyncio.sleep(APPLY_S)
+        self.store.write_again(lost)
+        await asyncio.sleep(APPLY_S)
+        self.assertEqual(seen, set())
+        self.store.remove("op", "evacuate/a")
+        await self.wait_for_domains(frozenset())
