Signal the return of the store also when it has been restored

Instances whose rows were lost would be missing from the store for up to 6 s after its return, and daemons that start meanwhile would not find them; two seconds are promised.

Cause: the first response after an outage with a restore is 410. The watch counted it as a success before it had signalled the return, so the comparison of the rows waited for its next regular time. A restore without failed calls signalled nothing at all.

Now 410 counts as the response that it is, a new era signals too, and the first call after failed ones asks the store to answer at once instead of after 1 s.

--- a/goldcresthoist/fleet/configuration.py
+++ b/goldcresthoist/fleet/configuration.py
@@ -118,7 +118,8 @@
     on_routing_table : callable or None
         Called with each new `RoutingTable`.
     on_store_recovered : callable or None
-        Called without arguments when the store responds again after failed calls.
+        Called without arguments when the store responds again after failed calls, or
+        has been restored.
     era : int
         Newest known era of the store; 0 until one is known.
     failures : int
@@ -230,8 +231,13 @@
                 cursor=self.cursor and self.cursor.version,
                 version=self.version,
             )
+            self._notify_store_recovered()
         self.era = era
 
+    def _notify_store_recovered(self):
+        if self.on_store_recovered is not None:
+            self.on_store_recovered()
+
     async def _run(self):
         while True:
             if not self._should_watch(monotonic()):
@@ -310,20 +316,20 @@
             if is_complete:
                 page = await self.store.rows(CONFIGURATION_TABLE, CONFIGURATION_KEY)
             else:
+                # After failed calls, a response shows that the store is back.
+                wait_s = 0.0 if self.failures else LONG_POLL_S
                 page = await self.store.wait_for_changes(
-                    CONFIGURATION_TABLE, cursor.version, LONG_POLL_S
+                    CONFIGURATION_TABLE, cursor.version, wait_s
                 )
         except HistoryGone:
+            page = None
             self.log.event("store history gone", cursor=cursor.version)
-            self.cursor = None
-            return
         if self.failures:
             self.log.event("store regained", failures=self.failures)
-            if self.on_store_recovered is not None:
-                self.on_store_recovered()
-        if not is_complete and page.era != cursor.era:
-            # Changes up to the version of the cursor are not in the page, although they
-            # may be new ones with versions that were given out again.
+            self._notify_store_recovered()
+        if page is None or not (is_complete or page.era == cursor.era):
+            # Changes up to the version of the cursor are not in a page of another era,
+            # although they may be new ones with versions that were given out again.
             self.cursor = None
             return
         await self._process_page(page, is_complete)
--- a/goldcresthoist/node/tests/test_restored_store.py
+++ b/goldcresthoist/node/tests/test_restored_store.py
@@ -5,6 +5,7 @@
 import unittest
 from time import monotonic
 
+from goldcresthoist.fleet.registration import MEMBER_PREFIX, MEMBER_TABLE
 from goldcresthoist.node.tests.loopback_cluster import (
     LoopbackCluster,
     configuration,
@@ -13,6 +14,8 @@
 
 # A configuration is to be in force this long after it was written.
 APPLY_S = 2.0
+# Entries that the store has lost are back this long after its return.
+RETURN_S = 2.0
 # Value of a row that drains a failure domain.
 DRAIN = base64.b64encode(b"{}").decode()
 
@@ -61,6 +64,20 @@
         await asyncio.sleep(APPLY_S)
         self.assertEqual(self.versions(), [4] * 4)
 
+    async def test_lost_rows_are_back_in_time(self):
+        """Guards against instances that are taken for gone after an outage.
+
+        The comparison of the rows with the members waited behind the long poll of its
+        own daemon and failed, and was repeated only with the next regular one.
+        """
+        self.store.faults = {"down": True}
+        await asyncio.sleep(1.0)
+        self.store.write_again(self.store.restore(60.0))
+        self.store.faults = {}
+        await asyncio.sleep(RETURN_S)
+        members = {MEMBER_PREFIX + ip for ip in self.cluster.ips}
+        self.assertLessEqual(members, self.store.keys(MEMBER_TABLE))
+
     async def wait_for_domains(self, domains):
         """Wait until all daemons have this set of drained failure domains."""
         nodes = self.cluster.nodes.values()
