Keep no call to the store waiting behind the watch's long poll

The comparison that finds lost rows and departures failed after each outage, with 'deadline passed while the call waited', and came 6 s later.

Cause: after an outage the gate admits one call at a time, and the long poll of the same daemon held that unit for a second, in which the store does nothing for it. The comparison was tried once.

Now a long poll holds no unit of concurrency unless it is a probe, and a failed comparison is repeated while the store answers; while it does not, the watch tells when it is back.

--- a/goldcresthoist/access/gate.py
+++ b/goldcresthoist/access/gate.py
@@ -80,7 +80,7 @@
         return self.next_probe_at is not None
 
     @asynccontextmanager
-    async def admit(self, deadline, urgent=False):
+    async def admit(self, deadline, urgent=False, waits=False):
         """Return a context manager that holds one unit of concurrency for a call.
 
         The body must raise `CallFailed` or `CallNotSent` when the service did not
@@ -96,6 +96,10 @@
             Whether the call is admitted at once, whatever the state of the circuit. It
             is meant for rare calls that must reach the service soon after it has
             recovered.
+        waits : bool
+            Whether the service is asked to delay its response, as in a long poll. Such
+            a call is no load for the service, so it is admitted without a unit of
+            concurrency unless it is a probe.
 
         Raises
         ------
@@ -103,7 +107,8 @@
             If the circuit is open, or opens while the call waits; if too many calls
             are waiting; or if the deadline passes before the call is admitted.
         """
-        probe = await self._acquire(deadline, urgent)
+        holds_unit = self.is_open or not waits
+        probe = holds_unit and await self._acquire(deadline, urgent)
         try:
             yield
         except (CallFailed, CallNotSent):
@@ -115,7 +120,8 @@
         else:
             self._record_success(probe)
         finally:
-            self.in_flight -= 1
+            if holds_unit:
+                self.in_flight -= 1
             self._admit_waiters()
 
     def reduce_concurrency(self):
--- a/goldcresthoist/access/tests/test_gate.py
+++ b/goldcresthoist/access/tests/test_gate.py
@@ -40,6 +40,31 @@
     Every daemon of a fleet calls the same service, so retries and probes add up.
     """
 
+    async def test_long_poll_keeps_no_other_call_waiting(self):
+        """Guards against calls that fail while the service does nothing.
+
+        After an outage one call at a time is admitted, and that was the long poll.
+        """
+        service = Service()
+        gate = CallGate("store", GateLimits(concurrency=1))
+        async with gate.admit(float("inf"), waits=True):
+            await asyncio.wait_for(call(gate, service), 1.0)
+        self.assertEqual((service.received, gate.in_flight), (1, 0))
+
+    async def test_long_poll_may_be_a_probe(self):
+        """Guards against a service that is never called again by a long poll."""
+        service = Service()
+        service.down = True
+        gate = CallGate("store", GateLimits(first_probe_delay_s=0.0))
+        for _ in range(3):
+            with self.assertRaises(CallFailed):
+                await call(gate, service)
+        self.assertTrue(gate.is_open)
+        async with gate.admit(float("inf"), waits=True):
+            with self.assertRaises(CallNotSent):
+                await call(gate, service)
+        self.assertEqual((gate.is_open, gate.in_flight), (False, 0))
+
     async def test_urgent_call_does_not_wait_for_a_probe(self):
         """Guards against a write that is kept back after the service has recovered.
 
--- a/goldcresthoist/fleet/registration.py
+++ b/goldcresthoist/fleet/registration.py
@@ -5,6 +5,7 @@
 import itertools
 import random
 import time
+from contextlib import suppress
 
 import msgspec
 
@@ -110,6 +111,8 @@
         Key and version of the row of each `StoredSuspect`, as last read.
     pending_suspects : dict
         Values of the rows of crash counts that are still to be written, by key.
+    comparison_due : asyncio.Event
+        Set when rows and members are to be compared before the next regular time.
     on_suspect : callable
         Called with the fingerprint, the crash count and the remaining seconds of each
         suspect that the store has; the count is 0 for one that has succeeded since.
@@ -131,6 +134,7 @@
         self.suspect_task = None
         self.on_suspect = lambda fingerprint, count, time_left_s: None
         self.tasks = set()
+        self.comparison_due = asyncio.Event()
         directory.channel.handlers[RowMissing] = lambda *_: self._rewrite_row()
 
     async def run(self):
@@ -146,9 +150,21 @@
             await self._retry_until_done(self._read)
             self.directory.announce()
         while True:
-            await asyncio.sleep(COMPARE_INTERVAL_S * random.uniform(0.9, 1.1))
-            if self.watch.is_first_watcher():
-                await self._attempt(self._compare)
+            await self._wait_for_comparison()
+            if not self.watch.is_first_watcher():
+                continue
+            if not await self._attempt(self._compare) and not self.watch.failures:
+                # While the store is away, the watch tells when it is back.
+                await asyncio.sleep(RETRY_MIN_S * random.uniform(0.7, 1.3))
+                self.comparison_due.set()
+
+    async def _wait_for_comparison(self):
+        """Wait for `COMPARE_INTERVAL_S`, or until the store may have lost rows."""
+        interval_s = COMPARE_INTERVAL_S * random.uniform(0.9, 1.1)
+        with suppress(TimeoutError):
+            async with asyncio.timeout(interval_s):
+                await self.comparison_due.wait()
+        self.comparison_due.clear()
 
     async def _register(self):
         """Read the rows, and write the daemon's own one if it has to be written.
@@ -167,12 +183,11 @@
         await self._retry_until_done(self._read)
 
     def store_recovered(self):
-        """Compare rows and members now, as the store may have lost some rows.
+        """Compare rows and members soon, as the store may have lost some rows.
 
         Only the first watcher does so.
         """
-        if self.watch.is_first_watcher():
-            self._start_task(self._attempt(self._compare))
+        self.comparison_due.set()
 
     async def leave(self):
         """Remove this daemon's row, and tell the others that it stops for good.
--- a/goldcresthoist/fleet/tests/test_registration.py
+++ b/goldcresthoist/fleet/tests/test_registration.py
@@ -29,6 +29,8 @@
 class FakeWatch:
     """Stands in for the `ConfigurationWatch` of the first watcher."""
 
+    failures = 0
+
     def is_first_watcher(self):
         """Return True."""
         return True
--- a/goldcresthoist/platform/store.py
+++ b/goldcresthoist/platform/store.py
@@ -187,7 +187,7 @@
         """Wait for changes to a table after a version; return them as a `RowPage`.
 
         This is a long poll. The page is empty when nothing changed for ``wait_s``
-        seconds.
+        seconds. With 0, the store responds at once.
 
         Raises
         ------
@@ -198,7 +198,7 @@
         """
         query = {"table": table, "after": after, "wait_ms": int(wait_s * 1000)}
         timeout_s = wait_s + LONG_POLL_MARGIN_S
-        return await self._read_page("rows-feed", query, timeout_s)
+        return await self._read_page("rows-feed", query, timeout_s, waits=wait_s > 0.0)
 
     async def put(self, table, values, timeout_s=CALL_TIMEOUT_S, urgent=False):
         """Write rows of one table unconditionally.
@@ -258,15 +258,17 @@
         # This lets the event loop call `connection_lost` of each connection.
         await asyncio.sleep(0)
 
-    async def _read_page(self, name, query, timeout_s):
-        answer, era = await self._call("GET", name, query, None, timeout_s)
+    async def _read_page(self, name, query, timeout_s, waits=False):
+        answer, era = await self._call("GET", name, query, None, timeout_s, waits=waits)
         return self._to_page(answer, era)
 
-    async def _call(self, method, name, query, body, timeout_s, urgent=False):
+    async def _call(
+        self, method, name, query, body, timeout_s, urgent=False, waits=False
+    ):
         """Make one call; return its `_Response` and the era of the store."""
         deadline = asyncio.get_running_loop().time() + timeout_s
         try:
-            async with self.gate.admit(deadline, urgent):
+            async with self.gate.admit(deadline, urgent, waits):
                 status, content, era = await self._exchange(
                     method, name, query, body, deadline
                 )
