Read the daemons' clock in a test of the directory

test_successor_with_a_clock_behind_is_found failed once in a run of the tests of fleet. It added to time.monotonic, and the directory reads clock.monotonic, whose offset is measured with two reads at import. When the process is preempted between them, that clock is ahead by as much. With the offset shifted by 1 ms the test fails, with the right clock it passes.

--- a/goldcresthoist/fleet/tests/test_drained_domains.py
+++ b/goldcresthoist/fleet/tests/test_drained_domains.py
@@ -1,11 +1,11 @@
 """Tests of the set of drained failure domains."""
 
 import unittest
-from time import monotonic
 from unittest import mock
 
 import msgspec
 
+from goldcresthoist.clock import monotonic
 from goldcresthoist.fleet.drained_domains import KEPT_S, DrainedDomains
 from goldcresthoist.fleet.messages import VersionReport
 from goldcresthoist.fleet.tests.builders import make_drain_row
--- a/goldcresthoist/fleet/tests/test_watch.py
+++ b/goldcresthoist/fleet/tests/test_watch.py
@@ -3,9 +3,9 @@
 import asyncio
 import unittest
 import zlib
-from time import monotonic
 from unittest import mock
 
+from goldcresthoist.clock import monotonic
 from goldcresthoist.fleet import ConfigurationWatch, Directory
 from goldcresthoist.fleet.directory import LEFT_MEMORY_S, _rank_key
 from goldcresthoist.fleet.messages import (
