Write departures, knees and crash counts again after a restore of the store

A request that crashes upstreams would have crashed more of them after a loss of all daemons, since a restored store had lost its count; in the same way the knee of a service and, if its datagrams were lost, a departure.

Cause: a row that the store had acknowledged was forgotten by its writer, and only departures that the first watcher happened to know were compared with the rows.

Now each daemon keeps what it has written in the last ten minutes and, when it learns of a new era, from a response or a version report, reads the rows and writes what is missing; a later count of another daemon stays. It forgets the version of its own row, which may be given out again, and sends its record to the watchers.

--- a/goldcresthoist/fleet/configuration.py
+++ b/goldcresthoist/fleet/configuration.py
@@ -118,8 +118,9 @@
     on_routing_table : callable or None
         Called with each new `RoutingTable`.
     on_store_recovered : callable or None
-        Called without arguments when the store responds again after failed calls, or
-        has been restored.
+        Called without arguments when the store responds again after failed calls.
+    on_store_restored : callable or None
+        Called without arguments when the store has been restored from a copy.
     era : int
         Newest known era of the store; 0 until one is known.
     failures : int
@@ -171,6 +172,7 @@
         self.fetch_handle = None
         self.on_routing_table = None
         self.on_store_recovered = None
+        self.on_store_restored = None
         self.tasks = []
         directory.channel.handlers[VersionReport] = self._on_version_report
         directory.channel.handlers[VersionNotice] = self._on_version_notice
@@ -199,6 +201,15 @@
         """Return whether this daemon is the watcher with the lowest rank."""
         return self.watching_store and not self._watchers_before(monotonic())
 
+    def watchers(self):
+        """Return the addresses of the other daemons that watch the store."""
+        now = monotonic()
+        return [
+            ip
+            for ip, report in self.reports.items()
+            if now - report.received_at < REPORT_VALIDITY_S
+        ]
+
     def age_s(self, now):
         """Return the time since the version was confirmed as the newest, in seconds.
 
@@ -221,7 +232,9 @@
         return ConfigurationContent(self.version, self._age_ms(), self.content)
 
     def set_era(self, era):
-        """Take note of a newer era of the store."""
+        """Take note of a newer era of the store; others are ignored."""
+        if era <= self.era:
+            return
         if self.era:
             self.counters.add("store_restores")
             self.log.event(
@@ -231,13 +244,10 @@
                 cursor=self.cursor and self.cursor.version,
                 version=self.version,
             )
-            self._notify_store_recovered()
+            if self.on_store_restored is not None:
+                self.on_store_restored()
         self.era = era
 
-    def _notify_store_recovered(self):
-        if self.on_store_recovered is not None:
-            self.on_store_recovered()
-
     async def _run(self):
         while True:
             if not self._should_watch(monotonic()):
@@ -326,7 +336,8 @@
             self.log.event("store history gone", cursor=cursor.version)
         if self.failures:
             self.log.event("store regained", failures=self.failures)
-            self._notify_store_recovered()
+            if self.on_store_recovered is not None:
+                self.on_store_recovered()
         if page is None or not (is_complete or page.era == cursor.era):
             # Changes up to the version of the cursor are not in a page of another era,
             # although they may be new ones with versions that were given out again.
@@ -438,6 +449,7 @@
             watched_at = sent_at - message.watch_age_ms / 1000.0
         watched_at = max(watched_at, confirmed_at)
         self.reports[message.ip] = _WatcherReport(now, watched_at)
+        self.set_era(message.domains_era)
         self.drained.merge(
             message.drained_domains,
             StorePosition(message.domains_era, message.domains_revision),
--- a/goldcresthoist/fleet/registration.py
+++ b/goldcresthoist/fleet/registration.py
@@ -66,6 +66,13 @@
 # after the store has recovered, as the daemons may all be lost soon afterwards.
 DEPARTURE_TIMEOUT_S = 0.4
 DEPARTURE_RETRY_S = 0.3
+# When the store has been restored, a daemon writes again what it has written for this
+# time, in seconds; older entries were in the copy, or have been removed since.
+ENTRY_MEMORY_S = DEPARTURE_MEMORY_S
+# Largest number of such entries. The oldest are dropped first.
+MAX_ENTRIES = 1000
+# Time over which the daemons of a fleet spread these calls.
+REWRITE_SPREAD_S = 1.0
 # Largest number of crash counts that wait for the store. The oldest are dropped first.
 MAX_PENDING_SUSPECTS = 1000
 # The store takes at most this many rows in one call.
@@ -111,6 +118,9 @@
         Key and version of the row of each `StoredSuspect`, as last read.
     pending_suspects : dict
         Values of the rows of crash counts that are still to be written, by key.
+    entries : dict
+        Values of the departures, knees and crash counts that this process has stored,
+        and the monotonic time of the write, by key of the row.
     comparison_due : asyncio.Event
         Set when rows and members are to be compared before the next regular time.
     on_suspect : callable
@@ -131,6 +141,7 @@
         self.departure_rows = {}
         self.suspect_rows = {}
         self.pending_suspects = {}
+        self.entries = {}
         self.suspect_task = None
         self.on_suspect = lambda fingerprint, count, time_left_s: None
         self.tasks = set()
@@ -189,6 +200,42 @@
         """
         self.comparison_due.set()
 
+    def store_restored(self):
+        """Write again what a restore of the store may have lost.
+
+        Members whose rows are lost are found by the comparison. The watchers are sent
+        the record of this daemon, in case they have not heard of it.
+        """
+        self.row_version = None
+        self.written_at = min(self.written_at, monotonic() - REWRITE_INTERVAL_S)
+        self.directory.announce(self.watch.watchers())
+        self.store_recovered()
+        if self.entries:
+            self._start_task(self._write_entries_again())
+
+    async def _write_entries_again(self):
+        await asyncio.sleep(random.uniform(0.0, REWRITE_SPREAD_S))
+        await self._retry_until_done(self._write_lost_entries)
+
+    async def _write_lost_entries(self):
+        """Write those of `entries` that the store has not, or only in an older state.
+
+        An earlier state of a crash count may be that of another daemon.
+        """
+        oldest = monotonic() - ENTRY_MEMORY_S
+        self.entries = {
+            key: entry for key, entry in self.entries.items() if entry[1] >= oldest
+        }
+        stored = {row.key: row.value async for row in self._all_rows()}
+        lost = {
+            key: value
+            for key, (value, _) in self.entries.items()
+            if _is_lost(key, value, stored.get(key))
+        }
+        if lost:
+            self.log.event("entries lost", count=len(lost))
+        await self._put_all(lost)
+
     async def leave(self):
         """Remove this daemon's row, and tell the others that it stops for good.
 
@@ -221,7 +268,9 @@
         """
 
         async def write_knee():
-            await self.store.put(MEMBER_TABLE, {KNEE_PREFIX + service: b""})
+            values = {KNEE_PREFIX + service: b""}
+            await self.store.put(MEMBER_TABLE, values)
+            self._remember(values)
 
         self._start_task(self._retry_until_done(write_knee))
 
@@ -253,6 +302,7 @@
             if not await self._attempt(write_suspects):
                 await asyncio.sleep(DEPARTURE_RETRY_S)
                 continue
+            self._remember(values)
             for key, value in values.items():
                 # The count may have changed during the write.
                 if pending.get(key) is value:
@@ -269,12 +319,28 @@
         async def write_departure():
             values = {_departure_key(departed): encode_record(departed)}
             await self.store.put(MEMBER_TABLE, values, DEPARTURE_TIMEOUT_S, urgent=True)
+            self._remember(values)
 
         needed_until = monotonic() + DEPARTURE_MEMORY_S
         while not await self._attempt(write_departure) and monotonic() < needed_until:
             self.directory.send_departure(departed)
             await asyncio.sleep(DEPARTURE_RETRY_S)
 
+    def _remember(self, values):
+        """Keep what has been written, for the case that the store is restored."""
+        now = monotonic()
+        for key, value in values.items():
+            self.entries.pop(key, None)
+            self.entries[key] = (value, now)
+        while len(self.entries) > MAX_ENTRIES:
+            self.entries.pop(next(iter(self.entries)))
+
+    async def _put_all(self, values):
+        items = list(values.items())
+        for start in range(0, len(items), MAX_ROWS_PER_WRITE):
+            chunk = dict(items[start : start + MAX_ROWS_PER_WRITE])
+            await self.store.put(MEMBER_TABLE, chunk)
+
     async def close(self):
         """Cancel the background tasks."""
         for task in tuple(self.tasks):
@@ -317,17 +383,22 @@
         registered = set()
         self.departure_rows = {}
         self.suspect_rows = {}
+        async for row in self._all_rows():
+            self._process_row(row, registered)
+        self.rows_loaded.set()
+        return registered
+
+    async def _all_rows(self):
+        """Yield all rows; those at the ends of pages twice."""
         first, next_key = None, ""
         # A page that ends at the key where it starts would be read forever.
         while next_key != first:
             page = await self.store.rows(MEMBER_TABLE, next_key)
             for row in page.rows:
-                self._process_row(row, registered)
+                yield row
             first, next_key = next_key, page.next_key
             if not next_key:
                 break
-        self.rows_loaded.set()
-        return registered
 
     def _process_row(self, row, registered):
         if row.key.startswith(MEMBER_PREFIX):
@@ -416,10 +487,7 @@
         }
         if values:
             self.log.event("departures missing", count=len(values))
-        items = list(values.items())
-        for start in range(0, len(items), MAX_ROWS_PER_WRITE):
-            chunk = dict(items[start : start + MAX_ROWS_PER_WRITE])
-            await self.store.put(MEMBER_TABLE, chunk)
+        await self._put_all(values)
         for departed in expired:
             if departed in self.departure_rows:
                 await self.store.remove(MEMBER_TABLE, *self.departure_rows[departed])
@@ -448,6 +516,17 @@
     return SUSPECT_EXPIRY_S - age_s
 
 
+def _is_lost(key, value, stored):
+    """Return whether a row of this value is missing or replaced by an older one."""
+    if not key.startswith(SUSPECT_PREFIX):
+        return stored is None
+    suspect = decode_suspect(value)
+    if stored is None:
+        return suspect.count > 0
+    known = decode_suspect(stored)
+    return known is None or known.changed_ms < suspect.changed_ms
+
+
 def _departure_key(departed):
     """Return the key of the row of a departure.
 
--- a/goldcresthoist/fleet/tests/test_registration.py
+++ b/goldcresthoist/fleet/tests/test_registration.py
@@ -13,7 +13,9 @@
     Roster,
     RosterRequest,
     RowMissing,
+    StoredSuspect,
     decode_record,
+    decode_suspect,
     encode_record,
 )
 from goldcresthoist.fleet.registration import DEPARTED_PREFIX, MEMBER_PREFIX
@@ -31,6 +33,10 @@
 
     failures = 0
 
+    def watchers(self):
+        """Return the address of another watcher."""
+        return ["10.0.0.2"]
+
     def is_first_watcher(self):
         """Return True."""
         return True
@@ -204,6 +210,79 @@
         await self.registration._read()
         self.assertEqual(services, ["lookup"])
 
+    async def restore_store(self, values):
+        """Restore the store to these values, and let the daemon notice it."""
+        self.store.values = dict(values)
+        with mock.patch("goldcresthoist.fleet.registration.REWRITE_SPREAD_S", 0.0):
+            self.registration.store_restored()
+            await asyncio.gather(*self.registration.tasks)
+
+    async def test_lost_entries_are_written_again(self):
+        """Guards against departures and crash counts that a restored store lacks.
+
+        They were stored, so that nobody had to write them any more, and a daemon that
+        restarted used an upstream that had left.
+        """
+        copy = dict(self.store.values)
+        departed = Departed("10.0.0.1", "i-1", 9)
+        await self.registration.record_departure(departed)
+        self.registration.record_knee("lookup")
+        self.registration.record_suspect(b"f" * 8, 2)
+        self.registration.record_suspect(b"g" * 8, 0)
+        await asyncio.gather(*self.registration.tasks)
+        await self.restore_store(copy)
+        self.assertIn(departed, await self.read_departures())
+        self.assertIn("knee/lookup", self.store.values)
+        suspects = [key for key in self.store.values if key.startswith("suspect/")]
+        self.assertEqual(suspects, ["suspect/" + (b"f" * 8).hex()])
+
+    async def test_later_crash_count_is_kept(self):
+        """Guards against an old count that replaces the one of another daemon."""
+        self.registration.record_suspect(b"f" * 8, 2)
+        await asyncio.gather(*self.registration.tasks)
+        ((key, value),) = self.suspect_rows()
+        suspect = decode_suspect(value)
+        for change_ms, expected in ((5, 3), (-5, 2)):
+            changed_ms = suspect.changed_ms + change_ms
+            other = StoredSuspect(suspect.fingerprint, 3, changed_ms)
+            await self.restore_store({key: encode_record(other)})
+            ((_, value),) = self.suspect_rows()
+            self.assertEqual(decode_suspect(value).count, expected)
+
+    def suspect_rows(self):
+        return [
+            (key, value)
+            for key, value in self.store.values.items()
+            if key.startswith("suspect/")
+        ]
+
+    async def test_old_entries_are_not_written_again(self):
+        """Guards against rows that were removed since and come back for good."""
+        copy = dict(self.store.values)
+        await self.registration.record_departure(Departed("10.0.0.1", "i-1", 9))
+        with mock.patch("goldcresthoist.fleet.registration.ENTRY_MEMORY_S", -1.0):
+            await self.restore_store(copy)
+        self.assertEqual(self.store.values, copy)
+
+    async def test_row_is_written_again_in_each_era(self):
+        """Guards against an instance whose row is lost just after it was written."""
+        await self.registration._write()
+        self.registration.row_version = 7
+        await self.restore_store({})
+        self.assertIsNone(self.registration.row_version)
+        self.channel.deliver(RowMissing(), "10.0.0.2")
+        await asyncio.gather(*self.registration.tasks)
+        self.assertIn(MEMBER_PREFIX + "10.0.0.1", self.store.values)
+
+    async def test_watchers_learn_of_members_whose_rows_are_lost(self):
+        """Guards against a new instance that nobody finds after a restore.
+
+        Its announcements were lost, and its row is lost with the copy.
+        """
+        await self.restore_store({})
+        announcement = MemberAnnouncement(self.own)
+        self.assertIn((announcement, ("10.0.0.2",)), self.channel.sent)
+
     async def test_calls_are_repeated_after_store_errors(self):
         """Guards against a daemon that never joins because its first call failed."""
         self.store.error = StoreUnavailable("the store is down")
--- a/goldcresthoist/node/assembly.py
+++ b/goldcresthoist/node/assembly.py
@@ -211,6 +211,7 @@
         self.watch.on_routing_table = self._apply_table
         self.watch.drained.on_change = self._apply_drained_domains
         self.watch.on_store_recovered = self.registration.store_recovered
+        self.watch.on_store_restored = self.registration.store_restored
         self.server.configuration_content = self.watch.current_content
         self.server.probe.health_path = self._health_path
         self.announcements.on_unconfirmed = self.discovery.start_confirmation
--- a/goldcresthoist/node/tests/test_restored_store.py
+++ b/goldcresthoist/node/tests/test_restored_store.py
@@ -16,6 +16,10 @@
 APPLY_S = 2.0
 # Entries that the store has lost are back this long after its return.
 RETURN_S = 2.0
+# Daemons that do not watch the store learn of a restore within this time: a long poll
+# of 1 s and a version report.
+LEARNED_S = 1.4
+FINGERPRINT = b"request!"
 # Value of a row that drains a failure domain.
 DRAIN = base64.b64encode(b"{}").decode()
 
@@ -78,6 +82,20 @@
         members = {MEMBER_PREFIX + ip for ip in self.cluster.ips}
         self.assertLessEqual(members, self.store.keys(MEMBER_TABLE))
 
+    async def test_lost_crash_count_is_back_in_time(self):
+        """Guards against a request that crashes more upstreams after a power failure.
+
+        The store had lost its count, which no daemon wrote again.
+        """
+        row = "suspect/" + FINGERPRINT.hex()
+        self.cluster.nodes[self.cluster.ips[0]].registration.record_suspect(
+            FINGERPRINT, 2
+        )
+        await wait_until(lambda: row in self.store.keys(MEMBER_TABLE))
+        self.store.write_again(self.store.restore(60.0))
+        await asyncio.sleep(LEARNED_S + RETURN_S)
+        self.assertIn(row, self.store.keys(MEMBER_TABLE))
+
     async def wait_for_domains(self, domains):
         """Wait until all daemons have this set of drained failure domains."""
         nodes = self.cluster.nodes.values()
