Remove the rows of members that have left when they are found again

Daemons that start would have taken instances that are gone for members, for good: each costs a connection attempt every 2 s, a part of the retry budget and a place in the order of the watchers.

Cause: a daemon that leaves removes its row and is gone; a restore of the store brings the row back, and so does an outage in which it could not be removed. The others ignored such a row for 30 s and nobody removed it.

Evidence: test_returned_row_of_a_member_that_left_is_removed failed before.

Now the first watcher removes such a row when it compares rows and members, which it does at once after a restore, if the row is still the one it has read.

After: the tests of fleet pass, test_row_of_a_successor_stays among them (x86_64).

--- a/goldcresthoist/fleet/directory.py
+++ b/goldcresthoist/fleet/directory.py
@@ -156,8 +156,7 @@
         known = self.members.get(record.ip)
         if known is not None and known.born_ms >= record.born_ms:
             return False
-        left = self.left.get(record.ip)
-        if left is not None and left.excludes(record, monotonic()):
+        if self.has_left(record):
             return False
         self.members[record.ip] = record
         self._ranks = self._digest = None
@@ -167,6 +166,11 @@
             self.on_member(record)
         return True
 
+    def has_left(self, record):
+        """Return whether a record is one of a daemon that has left lately."""
+        left = self.left.get(record.ip)
+        return left is not None and left.excludes(record, monotonic())
+
     def replace_own(self, record):
         """Replace the record of this daemon after a change of its settings."""
         self.own = self.members[record.ip] = record
--- a/goldcresthoist/fleet/registration.py
+++ b/goldcresthoist/fleet/registration.py
@@ -112,6 +112,8 @@
     written_at : float
         Monotonic time at which this daemon's row was last written, or a further write
         was started; 0 before the first write.
+    left_rows : dict
+        Version of the row by key, for members that have left, as last read.
     departure_rows : dict
         Key and version of the row of each `Departed` that has one, as last read.
     suspect_rows : dict
@@ -138,6 +140,7 @@
         self.row_version = None
         self.rows_loaded = asyncio.Event()
         self.written_at = 0.0
+        self.left_rows = {}
         self.departure_rows = {}
         self.suspect_rows = {}
         self.pending_suspects = {}
@@ -381,6 +384,7 @@
     async def _read(self):
         """Process all rows; return the addresses of the members that have a row."""
         registered = set()
+        self.left_rows = {}
         self.departure_rows = {}
         self.suspect_rows = {}
         async for row in self._all_rows():
@@ -406,6 +410,9 @@
             if record is None or row.key != MEMBER_PREFIX + record.ip:
                 self.log.event("row ignored", key=row.key)
                 return
+            if self.directory.has_left(record):
+                self.left_rows[row.key] = row.version
+                return
             registered.add(record.ip)
             if record.ip == self.directory.own.ip:
                 self._keep_row(record)
@@ -473,6 +480,10 @@
         for suspect, (key, version) in self.suspect_rows.items():
             if not suspect.count or _suspect_time_left_s(suspect) <= 0.0:
                 await self.store.remove(MEMBER_TABLE, key, version)
+        # They could not be removed when the members left, or a restore of the store has
+        # brought them back.
+        for key, version in self.left_rows.items():
+            await self.store.remove(MEMBER_TABLE, key, version)
 
     async def _repair_departures(self):
         """Write the departures that have no row, and remove the rows of old ones.
--- a/goldcresthoist/fleet/tests/test_registration.py
+++ b/goldcresthoist/fleet/tests/test_registration.py
@@ -256,6 +256,26 @@
             if key.startswith("suspect/")
         ]
 
+    async def test_returned_row_of_a_member_that_left_is_removed(self):
+        """Guards against instances that are gone and are members again at each start.
+
+        They had removed their rows, which a restore of the store brought back.
+        """
+        self.directory.merge_record(make_record("10.0.0.2"))
+        self.channel.deliver(MemberLeft("10.0.0.2", 1), "10.0.0.2")
+        await self.registration._compare()
+        self.assertNotIn(MEMBER_PREFIX + "10.0.0.2", self.store.values)
+        self.assertNotIn("10.0.0.2", self.directory.members)
+
+    async def test_row_of_a_successor_stays(self):
+        """Guards against a new instance whose row is removed with its predecessor's."""
+        self.channel.deliver(MemberLeft("10.0.0.2", 1), "10.0.0.2")
+        row = encode_record(make_record("10.0.0.2", "desk", born_ms=2))
+        self.store.values[MEMBER_PREFIX + "10.0.0.2"] = row
+        await self.registration._compare()
+        self.assertIn(MEMBER_PREFIX + "10.0.0.2", self.store.values)
+        self.assertIn("10.0.0.2", self.directory.members)
+
     async def test_old_entries_are_not_written_again(self):
         """Guards against rows that were removed since and come back for good."""
         copy = dict(self.store.values)
