Tell watchers of a newer configuration that the restored store does not have

Callers of daemons that had restarted would have been served as an older configuration says, although a newer one was acknowledged and in force elsewhere, until the operator had written it again.

Cause: watchers that start from the copy report its version; the daemons with a newer one ignored such reports and said nothing, since a version moves only from watchers to others.

Now daemons that have a newer version than two reports in a row of a watcher send it a notice, four of them on average for each report; a daemon that has a configuration follows notices whatever their age, as it never adopts an older version. One that starts still takes only what was confirmed lately, and a fetched configuration that was never confirmed no longer counts as confirmed now.

--- a/goldcresthoist/fleet/configuration.py
+++ b/goldcresthoist/fleet/configuration.py
@@ -68,6 +68,8 @@
 # Time for which a daemon waits for a newer version from its `Directory.source`, after
 # which it fetches the version from the watcher that has reported it.
 SOURCE_WAIT_S = 0.25
+# Mean number of daemons that answer a report of an older version than their own.
+OFFERS_PER_REPORT = 4.0
 # When no daemon can be reached, the store is read instead. The reads of the whole fleet
 # are spread so that there are this many a second.
 FLEET_READS_PER_S = 2000.0
@@ -81,10 +83,12 @@
 
     ``received_at`` is the time at which it was received, ``watched_at`` the one at
     which the store last responded to that daemon; minus infinity if it has not.
+    ``is_behind`` tells whether its version was older than the one of this daemon.
     """
 
     received_at: float
     watched_at: float
+    is_behind: bool
 
 
 class ConfigurationWatch:
@@ -448,7 +452,11 @@
         if message.watch_age_ms >= 0:
             watched_at = sent_at - message.watch_age_ms / 1000.0
         watched_at = max(watched_at, confirmed_at)
-        self.reports[message.ip] = _WatcherReport(now, watched_at)
+        is_behind = 0 <= message.version < self.version
+        previous = self.reports.get(message.ip)
+        self.reports[message.ip] = _WatcherReport(now, watched_at, is_behind)
+        if is_behind and previous is not None and previous.is_behind:
+            self._offer_version(message.ip)
         self.set_era(message.domains_era)
         self.drained.merge(
             message.drained_domains,
@@ -462,11 +470,24 @@
             # have, but a daemon that starts must not adopt one that may be outdated.
             self._plan_fetch(message.ip, message.version)
 
+    def _offer_version(self, ip):
+        """Send a notice to a watcher that has an older version.
+
+        The store may have been restored from a copy without the version of this daemon,
+        and the watcher have started since.
+        """
+        if random.random() * len(self.directory.members) < OFFERS_PER_REPORT:
+            self.log.event("configuration offered", ip=ip, version=self.version)
+            notice = VersionNotice(self.directory.own.ip, self.version, self._age_ms())
+            self.directory.channel.send(notice, (ip,))
+
     def _on_version_notice(self, message, sender):
-        if sender != message.ip or message.age_ms < 0:
+        if sender != message.ip:
             return
         age_s = message.age_ms / 1000.0 + self.pauses.input_age_s()
-        if age_s < REPORT_VALIDITY_S:
+        is_newest = message.age_ms >= 0 and age_s < REPORT_VALIDITY_S
+        # A daemon that has a configuration never adopts an older one this way.
+        if is_newest or self.version >= 0:
             self._start_fetch(message.version, (message.ip,))
 
     def _plan_fetch(self, watcher, version):
@@ -529,9 +550,10 @@
                 reply = await self.fetch(ip)
             if reply.content and reply.version >= version > self.version:
                 if self._apply(_decompress(reply.content)):
-                    age_s = max(0, reply.age_ms) / 1000.0
-                    age_s += self.pauses.input_age_s()
-                    self.confirmed_at = monotonic() - age_s
+                    age_s = reply.age_ms / 1000.0 + self.pauses.input_age_s()
+                    self.confirmed_at = (
+                        monotonic() - age_s if reply.age_ms >= 0 else float("-inf")
+                    )
         except (TimeoutError, LinkError, OSError, zlib.error, ValueError) as exc:
             self.log.event(
                 "configuration not fetched",
--- a/goldcresthoist/fleet/messages.py
+++ b/goldcresthoist/fleet/messages.py
@@ -161,8 +161,9 @@
 class VersionNotice(msgspec.Struct, frozen=True, array_like=True, tag=9):
     """A configuration version that the sender has put in force and passes on.
 
-    It is sent to those daemons only that fetch from the sender first; see
-    `Directory.source`. ``age_ms`` is that of `VersionReport`.
+    It is sent to those daemons only that fetch from the sender first, see
+    `Directory.source`, and to watchers that have an older version. ``age_ms`` is that
+    of `VersionReport`.
     """
 
     ip: str
--- a/goldcresthoist/fleet/tests/test_watch.py
+++ b/goldcresthoist/fleet/tests/test_watch.py
@@ -251,6 +251,36 @@
         self.assertEqual(self.watch.version, 6)
         self.assertEqual(store.reads, 2)
 
+    async def test_watcher_behind_gets_few_offers(self):
+        """Guards against a datagram of each daemon for each report of a watcher.
+
+        A watcher that is only about to read a change gets none.
+        """
+        ip = self.directory.other_addresses()[0]
+        self.watch._apply(make_content(5))
+        self.deliver_report(ip, 4, 10)
+        self.assertEqual(self.channel.sent, [])
+        for _ in range(1_000):
+            self.deliver_report(ip, 4, 10)
+        offers = [item for item, ips in self.channel.sent if ips == (ip,)]
+        self.assertEqual({item.version for item in offers}, {5})
+        # One of eleven daemons sends 4 / 11 offers for each report.
+        self.assertAlmostEqual(len(offers), 364, delta=80)
+
+    async def test_offer_is_followed_by_a_daemon_with_a_configuration(self):
+        """Guards against an older configuration that a running daemon keeps.
+
+        The store has not confirmed the newer one since its restore.
+        """
+        ip = self.directory.other_addresses()[0]
+        self.answers[ip] = ConfigurationContent(9, -1, zlib.compress(make_content(9)))
+        self.watch._apply(make_content(5))
+        for age_ms in (5_000, -1):
+            self.channel.deliver(VersionNotice(ip, 9, age_ms), ip)
+        await self.watch.fetch_task
+        self.assertEqual(self.watch.version, 9)
+        self.assertEqual(self.watch.confirmed_at, float("-inf"))
+
     async def test_report_with_another_address_is_ignored(self):
         """Guards against a daemon that sends reports in the name of other watchers."""
         self.channel.deliver(VersionReport("10.0.0.5", 9, 10), "10.0.0.6")
--- a/goldcresthoist/node/tests/test_restored_store.py
+++ b/goldcresthoist/node/tests/test_restored_store.py
@@ -68,6 +68,31 @@
         await asyncio.sleep(APPLY_S)
         self.assertEqual(self.versions(), [4] * 4)
 
+    async def test_watchers_that_start_from_the_copy_catch_up(self):
+        """Guards against an older configuration at daemons that have restarted.
+
+        The store had lost a change that the other daemons had in force, and both
+        watchers were restarted before the operator had written it again.
+        """
+        copied_at = monotonic()
+        await asyncio.sleep(0.01)
+        await self.configure(2)
+        await wait_until(lambda: self.versions() == [2] * 4)
+        self.store.restore(monotonic() - copied_at)
+        nodes = self.cluster.nodes.items()
+        watchers = [ip for ip, node in nodes if node.watch.watching_store]
+        self.assertEqual(len(watchers), 2)
+        await asyncio.gather(*(self.restart(ip) for ip in watchers))
+        await wait_until(lambda: min(self.versions()) > 0)
+        await asyncio.sleep(APPLY_S)
+        self.assertEqual(self.versions(), [2] * 4)
+
+    async def restart(self, ip):
+        """Restart a daemon."""
+        await self.cluster.stop_node(ip)
+        service = self.cluster.services[self.cluster.ips.index(ip)]
+        await self.cluster.start_node(ip, service)
+
     async def test_lost_rows_are_back_in_time(self):
         """Guards against instances that are taken for gone after an outage.
 
