Soak: restore the store, and check the newest configuration at the end

Two faults: a restore from a copy of up to 6 s, and one after which versions are given out again so that no daemon gets 410. The operator also drains a domain without instances and takes it back. At the end each daemon must serve the newest version within 5 s and have the drain as it was last written.

--- a/goldcresthoist/tests/soak/daemon.py
+++ b/goldcresthoist/tests/soak/daemon.py
@@ -22,6 +22,7 @@
 from goldcresthoist.node.call_execution import CallExecution
 from goldcresthoist.node.local_upstream import AnnouncementResult, LocalUpstream
 from goldcresthoist.pauses import PauseDetector
+from goldcresthoist.platform import StoreClient
 from goldcresthoist.upstreams import UpstreamBroken
 
 __all__ = ["DISABLED_MECHANISMS", "SETTINGS_VARIABLE", "prepare"]
@@ -125,6 +126,10 @@
     ConfigurationWatch._apply = apply_any
 
 
+def _disable_store_eras():
+    StoreClient._read_era = lambda self, headers: self.era
+
+
 def _disable_pause_detection():
     PauseDetector.input_age_s = lambda self: 0.0
 
@@ -134,6 +139,7 @@
     "refusal-of-new-work": _disable_refusal_of_new_work,
     "whole-responses": _disable_whole_responses,
     "order-of-versions": _disable_order_of_versions,
+    "store-eras": _disable_store_eras,
     "pause-detection": _disable_pause_detection,
 }
 
--- a/goldcresthoist/tests/soak/fleet.py
+++ b/goldcresthoist/tests/soak/fleet.py
@@ -4,14 +4,17 @@
 import itertools
 import json
 import os
+import re
 import signal
 import sys
 import tempfile
 from pathlib import Path
 
+from goldcresthoist.node.assembly import METRICS_PORT
 from goldcresthoist.node.tests.loopback_cluster import (
     LoopbackCluster,
     configuration,
+    read_answer,
     settings_text,
 )
 from goldcresthoist.tests.soak.daemon import SETTINGS_VARIABLE
@@ -152,16 +155,27 @@
         async with asyncio.timeout(timeout_s):
             for ip in self.ips:
                 for path, method in (("/read/up", "GET"), ("/write/up", "POST")):
-                    while not await self._is_served(ip, path, method):  # noqa: ASYNC110
+                    while not await self.is_served(ip, path, method):  # noqa: ASYNC110
                         await asyncio.sleep(0.1)
 
-    async def _is_served(self, ip, path, method):
+    async def is_served(self, ip, path, method):
+        """Return whether a daemon answers a request with status 200."""
         try:
             _, answer = await self.call(ip, path, method, b"x")
         except OSError:
             return False
         return answer.status == 200
 
+    async def drained_domains(self, ip):
+        """Return the number of drained failure domains in a daemon's metrics."""
+        reader, writer = await asyncio.open_connection(ip, METRICS_PORT)
+        try:
+            writer.write(b"GET /metrics HTTP/1.1\r\nHost: site\r\n\r\n")
+            text = (await read_answer(reader)).body.decode()
+        finally:
+            writer.close()
+        return int(float(re.search(r"^\w*drained_domains (\S+)$", text, re.M)[1]))
+
     def signal(self, ip, number):
         """Send a signal to the daemon of an instance, if it runs."""
         process = self.processes[ip]
--- a/goldcresthoist/tests/soak/run.py
+++ b/goldcresthoist/tests/soak/run.py
@@ -1,11 +1,13 @@
 """A seeded run of load and overlapping faults that checks the guarantees to callers."""
 
 import asyncio
+import base64
 import random
 import signal
 from collections import Counter
 from time import monotonic
 
+from goldcresthoist.fleet.drained_domains import KEPT_S
 from goldcresthoist.node.tests.loopback_cluster import configuration, read_answer
 from goldcresthoist.tests.soak.fleet import SoakFleet
 from goldcresthoist.tests.standins.platform_target import response_seal
@@ -60,13 +62,21 @@
     "delay_store",
     "lose_store_responses",
     "delete_daemon_rows",
+    "restore_store",
+    "restore_with_same_versions",
     "change_configuration",
+    "drain_domain",
     "reload_settings",
     "replace_upstream",
     "leave_and_kill",
     "crash_upstream",
     "slow_upstream",
 )
+# A configuration is in force this long after the last fault: the platform lets daemons
+# be out of touch for 3 s after a fault, and a change take 2 s then.
+IN_FORCE_S = 5.0
+# Failure domain without instances, which the operator drains and takes back.
+DRAINED_DOMAIN = "z"
 # Statuses with which a daemon guarantees that the request was not executed.
 NOT_EXECUTED_STATUSES = (408, 421, 429, 503)
 
@@ -108,8 +118,12 @@
         self.faults = faults
         self.interval_s = interval_s
         self.fleet = SoakFleet(list(services), disabled)
-        # Versions of the configuration that were written to the store.
+        # Versions of the configuration that were written to the store, and the newest
+        # document.
         self.versions = [1]
+        self.document = configuration()
+        self.domain_drained = False
+        self.restoring = False
         # Number of responses by status. The status is 0 for an incomplete response; the
         # key "no connection" counts connections that failed or timed out.
         self.answers = Counter()
@@ -148,6 +162,7 @@
                 group.create_task(self._inject_faults_until(end_time))
             self._clear_faults()
             await self._check_recovery()
+            await self._check_configuration()
             self._check_runs()
         finally:
             self.logs = fleet.logs()
@@ -396,8 +411,77 @@
         for version in self.versions:
             added = {"name": f"v{version}", "prefix": f"/v{version}/"}
             document["routes"].append(read | added)
+        self.document = document
         self.fleet.configure(document)
 
+    async def _drain_domain(self, ip):
+        """Drain a failure domain, or take the drain back."""
+        self.domain_drained = not self.domain_drained
+        self._write_drain()
+
+    def _write_drain(self):
+        key = f"evacuate/{DRAINED_DOMAIN}"
+        if self.domain_drained:
+            self.fleet.store.put("op", key, base64.b64encode(b"{}").decode())
+        else:
+            self.fleet.store.remove("op", key)
+
+    async def _restore_store(self, ip):
+        """Restore the store from a copy; the operator writes again what is lost."""
+        copied_at = monotonic() - self.random.uniform(0.1, 6.0)
+        lost = await self._restore_from(copied_at)
+        if lost is None:
+            return
+        self.fleet.store.faults.pop("down", None)
+        await asyncio.sleep(self.random.uniform(0.0, 1.0))
+        self._write_again(lost)
+
+    async def _restore_with_same_versions(self, ip):
+        """Restore the store, which gives all versions out again at once.
+
+        Two changes are lost. The last one is written again, followed by a new one,
+        before any daemon can call.
+        """
+        store = self.fleet.store
+        copied_at = monotonic()
+        for _ in range(2):
+            await self._change_configuration(ip)
+            await asyncio.sleep(self.random.uniform(0.4, 0.6))
+        before = store.version
+        lost = await self._restore_from(copied_at)
+        if lost is None:
+            return
+        self._write_again(lost)
+        await self._change_configuration(ip)
+        while store.version < before:
+            store.put("op", "other", "")
+        store.faults.pop("down", None)
+
+    async def _restore_from(self, copied_at):
+        """Restore the store as it was at a time, in most cases after an outage.
+
+        Returns
+        -------
+        dict or None
+            What the operator has to write again; None if another restore is under way.
+            If it was down, the store is still down.
+        """
+        if self.restoring:
+            return None
+        self.restoring = True
+        store = self.fleet.store
+        if self.random.random() < 0.7:
+            store.faults["down"] = True
+            await asyncio.sleep(self.random.choice((0.1, 0.4, 2.5)))
+        self.restoring = False
+        return store.restore(monotonic() - copied_at)
+
+    def _write_again(self, lost):
+        if "config" in lost:
+            self.fleet.configure(self.document)
+        if f"evacuate/{DRAINED_DOMAIN}" in lost:
+            self._write_drain()
+
     async def _reload_settings(self, ip):
         if ip not in self.fleet.busy:
             self.fleet.signal(ip, signal.SIGHUP)
@@ -476,6 +560,27 @@
                 "requests are not served again within 30 s of the last fault"
             ) from exc
 
+    async def _check_configuration(self):
+        """Check that every daemon has what the operator wrote last."""
+        end_time = monotonic() + IN_FORCE_S
+        for ip in self.fleet.ips:
+            path = f"/v{self.versions[-1]}/x" if self.versions[-1] > 1 else "/read/x"
+            while not await self.fleet.is_served(ip, path, "GET"):
+                if monotonic() > end_time:
+                    raise GuaranteeViolation(
+                        f"{ip} does not serve version {self.versions[-1]}, which is "
+                        f"{IN_FORCE_S} s old"
+                    )
+                await asyncio.sleep(0.1)
+        end_time = monotonic() + KEPT_S
+        for ip in self.fleet.ips:
+            while await self.fleet.drained_domains(ip) != int(self.domain_drained):
+                if monotonic() > end_time:
+                    raise GuaranteeViolation(
+                        f"{ip}: the drain of a domain is not {self.domain_drained}"
+                    )
+                await asyncio.sleep(0.1)
+
     def _check_runs(self):
         """Compare the statuses that callers received with the recorded executions."""
         targets = [*self.replaced_targets, *filter(None, self.fleet.targets.values())]
--- a/goldcresthoist/tests/test_soak.py
+++ b/goldcresthoist/tests/test_soak.py
@@ -26,7 +26,8 @@
         During the load, daemons are killed, restarted, paused, slowed down and
         reloaded, also while they stop and while their store is away. They are cut off
         from each other and from the store, also one way, and what they send is delayed.
-        Their store does not respond or loses rows, and their clocks are wrong.
+        Their store does not respond, loses rows or is restored from a copy, and their
+        clocks are wrong.
         Upstreams drain, leave, crash and send malformed, late or endless responses.
         """
         answers = asyncio.run(SoakRun(CI_SEED, CI_DURATION_S).execute())
@@ -86,6 +87,11 @@
         services = ("listen", "ledger")
         self.find("order-of-versions", faults, "does not know", 0.15, services)
 
+    def test_eras_of_the_store(self):
+        """Without it, a change is not in force after the store was restored."""
+        faults = ("restore_with_same_versions",)
+        self.find("store-eras", faults, "does not serve version", 3.0)
+
     def test_pause_detection(self):
         """Without it, a paused daemon runs requests after their deadline."""
         self.find("pause-detection", ("pause",), "after its deadline")
