--- a/goldcresthoist/platform/store.py
+++ b/goldcresthoist/platform/store.py
@@ -64,9 +64,9 @@
 
 @dataclass(frozen=True, slots=True, order=True)
 class StorePosition:
-    """A version of the store in one of its eras; a position in a later era is later.
+    """A version of the store in one of its eras.
 
-    Versions are given out again in each era, so they are compared only within one.
+    Positions are ordered by era first, as versions are given out again in each era.
     """
 
     era: int
