Keep the row of a successor whose clock is behind

Cause: a record counted as one of the member that left when it was not later.

Evidence: by reading; test_row_of_a_successor_stays with an earlier start time failed.

Now only the row with the start time of the daemon that left is removed; an earlier record is still ignored for 30 s, as before.

After: the tests of fleet pass (x86_64).

--- a/goldcresthoist/fleet/directory.py
+++ b/goldcresthoist/fleet/directory.py
@@ -156,7 +156,8 @@
         known = self.members.get(record.ip)
         if known is not None and known.born_ms >= record.born_ms:
             return False
-        if self.has_left(record):
+        left = self.left.get(record.ip)
+        if left is not None and left.excludes(record, monotonic()):
             return False
         self.members[record.ip] = record
         self._ranks = self._digest = None
@@ -167,9 +168,14 @@
         return True
 
     def has_left(self, record):
-        """Return whether a record is one of a daemon that has left lately."""
+        """Return whether a record is the last one of a daemon that has left lately.
+
+        An earlier one may be that of a successor whose clock is behind.
+        """
         left = self.left.get(record.ip)
-        return left is not None and left.excludes(record, monotonic())
+        if left is None or not left.excludes(record, monotonic()):
+            return False
+        return record.born_ms == left.born_ms
 
     def replace_own(self, record):
         """Replace the record of this daemon after a change of its settings."""
--- a/goldcresthoist/fleet/tests/test_registration.py
+++ b/goldcresthoist/fleet/tests/test_registration.py
@@ -268,12 +268,16 @@
         self.assertNotIn("10.0.0.2", self.directory.members)
 
     async def test_row_of_a_successor_stays(self):
-        """Guards against a new instance whose row is removed with its predecessor's."""
-        self.channel.deliver(MemberLeft("10.0.0.2", 1), "10.0.0.2")
-        row = encode_record(make_record("10.0.0.2", "desk", born_ms=2))
-        self.store.values[MEMBER_PREFIX + "10.0.0.2"] = row
-        await self.registration._compare()
-        self.assertIn(MEMBER_PREFIX + "10.0.0.2", self.store.values)
+        """Guards against a new instance whose row is removed with its predecessor's.
+
+        Its clock may be behind. Then it is a member only later, by that row.
+        """
+        self.channel.deliver(MemberLeft("10.0.0.2", 5), "10.0.0.2")
+        for born_ms in (4, 6):
+            row = encode_record(make_record("10.0.0.2", "desk", born_ms))
+            self.store.values[MEMBER_PREFIX + "10.0.0.2"] = row
+            await self.registration._compare()
+            self.assertIn(MEMBER_PREFIX + "10.0.0.2", self.store.values)
         self.assertIn("10.0.0.2", self.directory.members)
 
     async def test_old_entries_are_not_written_again(self):
