--- a/goldcresthoist/node/tests/test_restored_store.py
+++ b/goldcresthoist/node/tests/test_restored_store.py
@@ -5,7 +5,11 @@
 import unittest
 from time import monotonic
 
-from goldcresthoist.fleet.registration import MEMBER_PREFIX, MEMBER_TABLE
+from goldcresthoist.fleet.registration import (
+    DEPARTED_PREFIX,
+    MEMBER_PREFIX,
+    MEMBER_TABLE,
+)
 from goldcresthoist.node.tests.loopback_cluster import (
     LoopbackCluster,
     configuration,
@@ -121,6 +125,38 @@
         await asyncio.sleep(LEARNED_S + RETURN_S)
         self.assertIn(row, self.store.keys(MEMBER_TABLE))
 
+    async def test_lost_departure_is_back_in_time(self):
+        """Guards against an upstream that has left and is used after a power failure.
+
+        The store had lost the departure, and all daemons were lost later.
+        """
+        ip = self.cluster.ips[0]
+        target = self.cluster.targets[ip]
+        await target.drain()
+        target.heartbeat_task.cancel()
+        prefix = f"{DEPARTED_PREFIX}{ip}/"
+        self.assertTrue(self.departures(prefix))
+        self.store.write_again(self.store.restore(60.0))
+        self.assertFalse(self.departures(prefix))
+        await asyncio.sleep(LEARNED_S + RETURN_S)
+        self.assertTrue(self.departures(prefix))
+        for other in self.cluster.ips:
+            await self.cluster.stop_node(other)
+        for other, service in zip(self.cluster.ips, self.cluster.services):
+            await self.cluster.start_node(other, service)
+        target.state = "ready"
+        await target.announce()
+        await wait_until(lambda: min(self.versions()) > 0)
+        other = self.cluster.ips[1]
+        for _ in range(10):
+            await self.cluster.call(other, "/read/x")
+        self.assertEqual(target.runs, [])
+
+    def departures(self, prefix):
+        """Return the keys of the rows of departures that the store has."""
+        keys = self.store.keys(MEMBER_TABLE)
+        return [key for key in keys if key.startswith(prefix)]
+
     async def wait_for_domains(self, domains):
         """Wait until all daemons have this set of drained failure domains."""
         nodes = self.cluster.nodes.values()
