Bound the calls and datagrams after a restore at the size that is designed for

Each daemon that had stored an entry read all rows, 40 pages at 20,000 members, and each daemon of the fleet sent its record to the watchers. Now departures and knees are written again without a read, which is idempotent; only crash counts read the rows of crash counts first. Only a daemon whose own row was written in the last ten minutes sends its record.

--- a/goldcresthoist/fleet/registration.py
+++ b/goldcresthoist/fleet/registration.py
@@ -206,12 +206,14 @@
     def store_restored(self):
         """Write again what a restore of the store may have lost.
 
-        Members whose rows are lost are found by the comparison. The watchers are sent
-        the record of this daemon, in case they have not heard of it.
+        Members whose rows are lost are found by the comparison. If the row of this
+        daemon is new, its record is sent to the watchers, which may not know it.
         """
+        now = monotonic()
+        if self.written_at and now - self.written_at < ENTRY_MEMORY_S:
+            self.directory.announce(self.watch.watchers())
         self.row_version = None
-        self.written_at = min(self.written_at, monotonic() - REWRITE_INTERVAL_S)
-        self.directory.announce(self.watch.watchers())
+        self.written_at = min(self.written_at, now - REWRITE_INTERVAL_S)
         self.store_recovered()
         if self.entries:
             self._start_task(self._write_entries_again())
@@ -221,23 +223,27 @@
         await self._retry_until_done(self._write_lost_entries)
 
     async def _write_lost_entries(self):
-        """Write those of `entries` that the store has not, or only in an older state.
+        """Write `entries` again; crash counts only where the store has no later one.
 
-        An earlier state of a crash count may be that of another daemon.
+        A later crash count is that of another daemon.
         """
         oldest = monotonic() - ENTRY_MEMORY_S
         self.entries = {
             key: entry for key, entry in self.entries.items() if entry[1] >= oldest
         }
-        stored = {row.key: row.value async for row in self._all_rows()}
-        lost = {
-            key: value
-            for key, (value, _) in self.entries.items()
-            if _is_lost(key, value, stored.get(key))
-        }
-        if lost:
-            self.log.event("entries lost", count=len(lost))
-        await self._put_all(lost)
+        values = {key: value for key, (value, _) in self.entries.items()}
+        if any(key.startswith(SUSPECT_PREFIX) for key in values):
+            rows = self._all_rows(SUSPECT_PREFIX)
+            stored = {row.key: row.value async for row in rows}
+            values = {
+                key: value
+                for key, value in values.items()
+                if not key.startswith(SUSPECT_PREFIX)
+                or _is_later_suspect(value, stored.get(key))
+            }
+        if values:
+            self.log.event("entries written again", count=len(values))
+        await self._put_all(values)
 
     async def leave(self):
         """Remove this daemon's row, and tell the others that it stops for good.
@@ -392,9 +398,9 @@
         self.rows_loaded.set()
         return registered
 
-    async def _all_rows(self):
-        """Yield all rows; those at the ends of pages twice."""
-        first, next_key = None, ""
+    async def _all_rows(self, first_key=""):
+        """Yield the rows from a key on; those at the ends of pages twice."""
+        first, next_key = None, first_key
         # A page that ends at the key where it starts would be read forever.
         while next_key != first:
             page = await self.store.rows(MEMBER_TABLE, next_key)
@@ -527,10 +533,8 @@
     return SUSPECT_EXPIRY_S - age_s
 
 
-def _is_lost(key, value, stored):
-    """Return whether a row of this value is missing or replaced by an older one."""
-    if not key.startswith(SUSPECT_PREFIX):
-        return stored is None
+def _is_later_suspect(value, stored):
+    """Return whether a value is later than the stored one, which may be None."""
     suspect = decode_suspect(value)
     if stored is None:
         return suspect.count > 0
